--- a/crates/duty/src/logging.rs
+++ b/crates/duty/src/logging.rs
@@ -69,12 +69,21 @@
 ///
 /// Returns an error if a logger is installed already, or the thread can't start.
 pub fn start(capacity: usize) -> io::Result<Arc<Ring>> {
+    start_on(capacity, io::stderr())
+}
+
+/// Starts logging to `out` and returns the ring of the last `capacity` decisions.
+///
+/// # Errors
+///
+/// Returns an error if a logger is installed already, or the thread can't start.
+pub fn start_on(capacity: usize, out: impl Write + Send + 'static) -> io::Result<Arc<Ring>> {
     let filter = std::env::var(FILTER_VARIABLE).unwrap_or_else(|_| DEFAULT_FILTER.to_owned());
     let (sink, lines) = sink();
     let waiting = Arc::clone(&sink.counts);
     thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || write_all(&lines, io::stderr()))?;
+        .spawn(move || write_all(&lines, out))?;
     let ring = Arc::new(Ring::new(capacity));
     let mut logger = Logger::new(&filter, Box::new(sink), Arc::clone(&ring));
     logger.counts = waiting;
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,401 @@
+//! The decisions of one gateway, joined.
+//!
+//! A request passes through [`Gateway::plan`] (route, key, age of what is known),
+//! [`Gateway::admit`] (whether the group can take it in time) and [`Gateway::assign`] (which
+//! upstream); [`Gateway::may_repeat`] answers after a failure. Each answer tells what decided it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnline_core::error::Kind as ErrorKind;
+use auburnline_core::id::FailureDomainId;
+use auburnline_core::time::Monotonic;
+use auburnline_retries::budget;
+use auburnline_retries::budget::Budget;
+use rand::Rng;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::knowledge::Knowledge;
+use crate::neighbour::Roster;
+use crate::pace;
+use crate::pace::Group;
+use crate::pace::Load;
+use crate::pace::Prediction;
+use crate::route::Engine;
+use crate::route::Route;
+use crate::route::ServiceId;
+use crate::route::Table;
+use crate::route::Workspace;
+use crate::upstream::Choice;
+use crate::upstream::Outcome;
+use crate::upstream::Pool;
+use crate::upstream::Preference;
+use crate::upstream::UpstreamId;
+
+/// Part of a request's objective that it may wait for a place: the rest is for reading the prompt and
+/// the first pass.
+const WAIT_PART: f64 = 0.3;
+/// Part of the fleet's retry slack that is there at once; the other part comes back over the window,
+/// so that both together stay within the slack in each window.
+const RESERVE_PART: f64 = 0.5;
+/// Shortest and longest time to come back after a refusal for load: a wave of callers that all come
+/// back at once would be refused again, so returns are spread over about the life of a stream.
+const RETURNS: (f64, f64) = (0.2, 1.0);
+/// Time to come back when no upstream takes work: a group forms anew within about a second.
+const NO_UPSTREAM_RETURN: Duration = Duration::from_millis(800);
+/// Time to come back to a gateway that knows too little: the caller finds another one.
+const ELSEWHERE_RETURN: Duration = Duration::from_millis(100);
+
+/// Bounds that the platform's operators set.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Longest time for which a key that was taken away may work.
+    pub revocation: Duration,
+    /// Repetitions for each request, in the whole fleet.
+    pub retry_ratio: f64,
+    /// Repetitions beyond that in a window, in the whole fleet.
+    pub retry_slack: f64,
+    /// That window.
+    pub retry_window: Duration,
+}
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Host.
+    pub host: &'a str,
+    /// Path without query.
+    pub path: &'a str,
+    /// Key.
+    pub key: Option<&'a str>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+}
+
+/// How a request may be served.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Route.
+    pub route: Arc<Route>,
+    /// Service.
+    pub service: ServiceId,
+    /// Cost model, where the service is a group of ranks.
+    pub engine: Option<Engine>,
+    /// Holder of the key.
+    pub workspace: Option<Arc<Workspace>>,
+    /// Version of the configuration that decided.
+    pub version: u64,
+    /// Age of what was known.
+    pub age: Duration,
+    /// When the request arrived.
+    pub arrived: Monotonic,
+    /// When the final answer is due.
+    pub due: Monotonic,
+}
+
+/// A request that is not served; none of these has run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refusal {
+    /// Kind of answer.
+    pub kind: ErrorKind,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+    /// Why, for the log.
+    pub reason: &'static str,
+    /// What was predicted, where load decided.
+    pub prediction: Option<Prediction>,
+}
+
+impl Refusal {
+    /// Returns a refusal that tells no time to come back.
+    #[must_use]
+    pub const fn of(kind: ErrorKind, reason: &'static str) -> Refusal {
+        Refusal {
+            kind,
+            retry_after: None,
+            reason,
+            prediction: None,
+        }
+    }
+
+    fn after(mut self, time: Duration) -> Refusal {
+        self.retry_after = Some(time);
+        self
+    }
+}
+
+/// Whether a request may be sent now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Admission {
+    /// It may.
+    Go(Option<Prediction>),
+    /// It may wait for a place until this time.
+    Wait(Monotonic),
+    /// It is refused.
+    Refuse(Refusal),
+}
+
+/// All that one gateway decides with.
+pub struct Gateway {
+    failure_domain: FailureDomainId,
+    bounds: Bounds,
+    table: Option<Arc<Table>>,
+    groups: HashMap<ServiceId, Group>,
+    budget: Budget<ServiceId, ServiceId>,
+    rng: ChaCha8Rng,
+    /// Upstreams.
+    pub pool: Pool,
+    /// Other gateways.
+    pub roster: Roster,
+    /// Age of what is known.
+    pub knowledge: Knowledge,
+}
+
+impl Gateway {
+    /// Returns a gateway that knows nothing yet.
+    #[must_use]
+    pub fn new(failure_domain: FailureDomainId, bounds: Bounds, roster: Roster, seed: u64) -> Gateway {
+        Gateway {
+            failure_domain,
+            table: None,
+            groups: HashMap::new(),
+            budget: Budget::new(shares(&bounds, None)),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            pool: Pool::default(),
+            roster,
+            knowledge: Knowledge::new(bounds.revocation),
+            bounds,
+        }
+    }
+
+    /// Sets the operators' bounds.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.knowledge.set_bound(bounds.revocation);
+        self.bounds = bounds;
+    }
+
+    /// Takes a configuration; returns whether it is newer than the one in force.
+    pub fn set_table(&mut self, table: Table) -> bool {
+        let version = self.version();
+        if version.is_some_and(|version| version >= table.version()) {
+            return false;
+        }
+        self.table = Some(Arc::new(table));
+        true
+    }
+
+    /// Returns the version in force.
+    #[must_use]
+    pub fn version(&self) -> Option<u64> {
+        self.table.as_ref().map(|table| table.version())
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub const fn table(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref()
+    }
+
+    /// Does what is due now and then: shares of the retry budget follow the fleet's size.
+    pub fn tick(&mut self, now: Monotonic) {
+        let is_settled = now > crate::neighbour::LIFE;
+        let fleet = is_settled.then_some(self.roster.most());
+        self.budget.resize(shares(&self.bounds, fleet));
+        self.budget.tick(now);
+    }
+
+    /// Returns whether this gateway can serve callers.
+    #[must_use]
+    pub fn is_able(&self, now: Monotonic) -> bool {
+        self.table.is_some() && self.knowledge.is_fresh(now)
+    }
+
+    /// Finds out how a request may be served.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it may not.
+    pub fn plan(&mut self, ask: &Ask<'_>, now: Monotonic) -> Result<Plan, Refusal> {
+        let Some(table) = self.table.clone() else {
+            let refusal = Refusal::of(ErrorKind::NotReady, "no configuration");
+            return Err(refusal.after(ELSEWHERE_RETURN));
+        };
+        let age = self.knowledge.age(now).unwrap_or(Duration::MAX);
+        let is_fresh = self.knowledge.is_fresh(now);
+        let stale = Refusal::of(ErrorKind::NotReady, "configuration may be outdated");
+        let stale = stale.after(ELSEWHERE_RETURN);
+        let Some(route) = table.route(ask.host, ask.path) else {
+            let refusal = Refusal::of(ErrorKind::UnknownRoute, "no route");
+            return Err(if is_fresh { refusal } else { stale });
+        };
+        let workspace = ask.key.and_then(|key| table.workspace(key)).cloned();
+        if !route.is_anonymous {
+            if !is_fresh {
+                return Err(stale);
+            }
+            if workspace.is_none() {
+                return Err(Refusal::of(ErrorKind::Unauthorized, "unknown key"));
+            }
+        }
+        let service = self.service(route);
+        let engine = table.service(&service).and_then(|service| service.engine);
+        let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+        Ok(Plan {
+            route: Arc::clone(route),
+            service,
+            engine,
+            workspace: if route.is_anonymous { None } else { workspace },
+            version: table.version(),
+            age,
+            arrived: now,
+            due: now + patience,
+        })
+    }
+
+    /// Draws one of a route's services by weight, among those that have upstreams.
+    fn service(&mut self, route: &Route) -> ServiceId {
+        let usable = |service: &str| self.pool.ready(service) > 0;
+        let mut targets: Vec<_> = route.targets.iter().collect();
+        if targets.iter().any(|target| target.weight > 0 && usable(&target.service)) {
+            targets.retain(|target| usable(&target.service));
+        }
+        let sum: u32 = targets.iter().map(|target| target.weight).sum();
+        let mut drawn = self.rng.random_range(0..sum.max(1));
+        for target in &targets {
+            if drawn < target.weight {
+                return Arc::clone(&target.service);
+            }
+            drawn -= target.weight;
+        }
+        targets.first().map_or_else(|| Arc::from(""), |target| Arc::clone(&target.service))
+    }
+
+    /// Decides whether a planned request may be sent now.
+    pub fn admit(&mut self, plan: &Plan, now: Monotonic) -> Admission {
+        if now >= plan.due {
+            let refusal = Refusal::of(ErrorKind::DeadlinePassed, "deadline passed before a send");
+            return Admission::Refuse(refusal);
+        }
+        if self.pool.ready(&plan.service) == 0 {
+            let refusal = Refusal::of(ErrorKind::Unreachable, "no upstream takes work");
+            return Admission::Refuse(refusal.after(NO_UPSTREAM_RETURN));
+        }
+        let (Some(engine), Some(longest)) = (plan.engine, plan.route.longest_pause) else {
+            return Admission::Go(None);
+        };
+        let load = self.load(&plan.service);
+        let group = self.groups.entry(Arc::clone(&plan.service)).or_default();
+        let prediction = group.predict(&engine, longest, load);
+        if f64::from(load.in_flight) < prediction.most {
+            return Admission::Go(Some(prediction));
+        }
+        let wait = plan.route.objective.mul_f64(WAIT_PART);
+        if now < plan.arrived + wait {
+            return Admission::Wait(plan.arrived + wait);
+        }
+        let mut refusal = Refusal::of(ErrorKind::Overloaded, "the group is full");
+        refusal.prediction = Some(prediction);
+        let after = self.rng.random_range(RETURNS.0..RETURNS.1);
+        Admission::Refuse(refusal.after(Duration::from_secs_f64(after)))
+    }
+
+    fn load(&self, service: &str) -> Load {
+        let (own, elsewhere) = self.pool.in_flight(service);
+        Load {
+            ranks: u32::try_from(self.pool.ready(service)).unwrap_or(u32::MAX),
+            in_flight: own.saturating_add(elsewhere),
+        }
+    }
+
+    /// Takes the pause between two events of a stream.
+    pub fn observe(&mut self, plan: &Plan, pause: Duration, now: Monotonic) {
+        let (Some(engine), Some(longest)) = (plan.engine, plan.route.longest_pause) else {
+            return;
+        };
+        let load = self.load(&plan.service);
+        let group = self.groups.entry(Arc::clone(&plan.service)).or_default();
+        group.observe(&engine, longest, pause, load, now);
+    }
+
+    /// Returns what is known of a group's pace.
+    #[must_use]
+    pub fn group(&self, service: &str) -> Option<&pace::Group> {
+        self.groups.get(service)
+    }
+
+    /// Chooses the upstream of the next send and counts it there.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if none is left.
+    pub fn assign(
+        &mut self,
+        plan: &Plan,
+        tried: &[UpstreamId],
+        now: Monotonic,
+    ) -> Result<Choice, Refusal> {
+        let preference = match plan.engine {
+            Some(_) => Preference::EvenLoad,
+            None => Preference::ShortestTime,
+        };
+        let domain = &self.failure_domain;
+        let choice = self
+            .pool
+            .choose(&plan.service, preference, domain, tried, now, &mut self.rng);
+        let Some(choice) = choice else {
+            let refusal = Refusal::of(ErrorKind::Unreachable, "no upstream is left");
+            return Err(refusal.after(NO_UPSTREAM_RETURN));
+        };
+        self.pool.begin(&choice.upstream.id);
+        if tried.is_empty() {
+            self.budget.first(now, &plan.service, &plan.service);
+        }
+        Ok(choice)
+    }
+
+    /// Takes how a send ended.
+    pub fn end(&mut self, id: &str, outcome: Outcome, now: Monotonic) {
+        self.pool.end(id, outcome, now);
+    }
+
+    /// Takes a repetition out of the fleet's budget, if one is left.
+    pub fn may_repeat(&mut self, plan: &Plan, now: Monotonic) -> bool {
+        let permit = self.budget.repeat(now, &plan.service, &plan.service);
+        permit.is_ok()
+    }
+}
+
+/// Returns this gateway's share of the fleet's retry budget; no slack while the fleet's size is unknown.
+fn shares(bounds: &Bounds, fleet: Option<usize>) -> budget::Settings {
+    let slack = fleet.map_or(0.0, |fleet| {
+        let fleet = u32::try_from(fleet).unwrap_or(u32::MAX);
+        bounds.retry_slack / f64::from(fleet.max(1))
+    });
+    let reserve = slack * RESERVE_PART;
+    let refill = bounds.retry_window.as_secs_f64() / (slack - reserve).max(0.01);
+    budget::Settings {
+        share: thousandths(bounds.retry_ratio),
+        reserve: whole(reserve),
+        refill: Duration::from_secs_f64(refill),
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a published share between 0 and 1"
+)]
+fn thousandths(ratio: f64) -> u64 {
+    (ratio.clamp(0.0, 1.0) * 1_000.0) as u64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a small positive number, rounded down"
+)]
+fn whole(number: f64) -> u64 {
+    number.max(0.0) as u64
+}
--- /dev/null
+++ b/crates/gateway/src/neighbour.rs
@@ -0,0 +1,242 @@
+//! Which gateways live, and what they have in flight.
+//!
+//! Each gateway sends a small [`Beat`] to a few others several times a second. It tells of itself,
+//! and passes on what it heard, so that all know all although none talks to all. A gateway that was
+//! not heard of for [`LIFE`] is left out of answers to callers; one that leaves says so itself.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use auburnline_core::id::FailureDomainId;
+use auburnline_core::id::Incarnation;
+use auburnline_core::id::InstanceId;
+use auburnline_core::time::Monotonic;
+use auburnline_membership::discovery;
+use auburnline_membership::discovery::Candidate;
+use auburnline_membership::discovery::Offer;
+use rand::Rng;
+use rand::seq::IteratorRandom as _;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::upstream::Counts;
+
+/// Time between two beats: several arrive within [`LIFE`], and counts of what is in flight stay
+/// younger than the answers that they tell of.
+pub const PERIOD: Duration = Duration::from_millis(300);
+/// Time without news after which a gateway counts as gone: five beats, since single ones are lost.
+pub const LIFE: Duration = Duration::from_millis(1_600);
+/// Gateways that one beat is sent to, so that the cost of a gateway does not grow with the fleet.
+const FANOUT: usize = 6;
+/// Gateways that one beat tells of besides its sender; the message stays within one datagram.
+const TOLD: usize = 12;
+/// Upstreams that one beat gives counts of.
+pub const MAX_COUNTS: usize = 64;
+/// Time after which a gateway that was not heard of is forgotten.
+const FORGET: Duration = Duration::from_secs(60);
+/// Beats after which the seeds are told again, since they may have been down.
+const SEED_BEATS: u64 = 6;
+
+/// A gateway, as it tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Name of its instance.
+    pub instance: InstanceId,
+    /// Number drawn at its start.
+    pub incarnation: Incarnation,
+    /// Beats since its start.
+    pub beat: u64,
+    /// Failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Address towards callers.
+    pub callers: SocketAddr,
+    /// Address towards other gateways.
+    pub peers: SocketAddr,
+    /// Whether it takes new requests.
+    pub is_ready: bool,
+}
+
+/// What a gateway sends to others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Sender.
+    pub from: Entry,
+    /// What the sender has in flight.
+    pub counts: Counts,
+    /// Others that the sender heard of.
+    pub others: Vec<Entry>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    entry: Entry,
+    heard: Monotonic,
+}
+
+impl Known {
+    fn lives(&self, now: Monotonic) -> bool {
+        now.saturating_sub(self.heard) < LIFE
+    }
+}
+
+/// News of a gateway, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct News {
+    /// Which gateway.
+    pub instance: InstanceId,
+    /// Whether it takes new requests.
+    pub is_ready: bool,
+}
+
+/// All gateways that this one knows.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    me: Entry,
+    seeds: Vec<SocketAddr>,
+    others: BTreeMap<InstanceId, Known>,
+    /// Most gateways that lived at once, this one included.
+    most: usize,
+}
+
+impl Roster {
+    /// Returns a roster that knows only this gateway and where to ask first.
+    #[must_use]
+    pub fn new(me: Entry, seeds: Vec<SocketAddr>) -> Roster {
+        Roster {
+            me,
+            seeds,
+            others: BTreeMap::new(),
+            most: 1,
+        }
+    }
+
+    /// Sets where to ask first.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Sets whether this gateway takes new requests; returns whether that changed.
+    pub fn set_ready(&mut self, is_ready: bool) -> bool {
+        let is_changed = self.me.is_ready != is_ready;
+        self.me.is_ready = is_ready;
+        is_changed
+    }
+
+    /// Returns whether this gateway takes new requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.me.is_ready
+    }
+
+    /// Takes a beat of another gateway.
+    pub fn hear(&mut self, beat: &Beat, now: Monotonic) -> Vec<News> {
+        let mut news = Vec::new();
+        news.extend(self.take(&beat.from, true, now));
+        for entry in &beat.others {
+            news.extend(self.take(entry, false, now));
+        }
+        self.most = self.most.max(self.live(now));
+        news
+    }
+
+    fn take(&mut self, entry: &Entry, is_own_word: bool, now: Monotonic) -> Option<News> {
+        if entry.instance == self.me.instance {
+            return None;
+        }
+        let known = self.others.get(&entry.instance);
+        let is_newer = known.is_none_or(|known| {
+            if known.entry.incarnation == entry.incarnation {
+                entry.beat > known.entry.beat
+            } else {
+                // Incarnations have no order: others may still tell of the one before.
+                is_own_word || !known.lives(now)
+            }
+        });
+        if !is_newer {
+            return None;
+        }
+        let is_news = known.is_none_or(|known| {
+            !known.lives(now) || known.entry.is_ready != entry.is_ready
+        });
+        let entry = entry.clone();
+        let news = News {
+            instance: entry.instance.clone(),
+            is_ready: entry.is_ready,
+        };
+        let heard = now;
+        self.others
+            .insert(entry.instance.clone(), Known { entry, heard });
+        is_news.then_some(news)
+    }
+
+    /// Takes that this process stood still for a time, in which it could hear nobody.
+    pub fn pause(&mut self, pause: Duration) {
+        for known in self.others.values_mut() {
+            known.heard = known.heard.saturating_add(pause);
+        }
+    }
+
+    /// Makes the next beat, and forgets gateways that are long gone.
+    pub fn beat(&mut self, counts: Counts, now: Monotonic, rng: &mut impl Rng) -> Beat {
+        self.me.beat += 1;
+        self.others
+            .retain(|_, known| now.saturating_sub(known.heard) < FORGET);
+        let live = self.others.values().filter(|known| known.lives(now));
+        let told = live.choose_multiple(rng, TOLD);
+        Beat {
+            from: self.me.clone(),
+            counts,
+            others: told.into_iter().map(|known| known.entry.clone()).collect(),
+        }
+    }
+
+    /// Returns where to send the next beat.
+    pub fn targets(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let live = self.others.values().filter(|known| known.lives(now));
+        let addresses = live.map(|known| known.entry.peers);
+        let mut targets = addresses.choose_multiple(rng, FANOUT);
+        if targets.len() < FANOUT / 2 || self.me.beat % SEED_BEATS == 0 {
+            targets.extend(self.seeds.iter().filter(|seed| **seed != self.me.peers));
+        }
+        targets.sort_unstable();
+        targets.dedup();
+        targets
+    }
+
+    /// Returns how many gateways live, this one included.
+    #[must_use]
+    pub fn live(&self, now: Monotonic) -> usize {
+        1 + self.others.values().filter(|known| known.lives(now)).count()
+    }
+
+    /// Returns the most gateways that lived at once: a safe divisor of what all share, since a
+    /// gateway that is cut off can't tell whether the others are gone.
+    #[must_use]
+    pub const fn most(&self) -> usize {
+        self.most
+    }
+
+    /// Returns the gateways that a caller in `domain` should use.
+    #[must_use]
+    pub fn offer(&self, domain: Option<&str>, seed: u64, now: Monotonic) -> Offer {
+        let others = self.others.values();
+        let mut candidates: Vec<Candidate> = others
+            .map(|known| candidate(&known.entry, known.lives(now)))
+            .collect();
+        candidates.push(candidate(&self.me, true));
+        discovery::offer(&candidates, domain, seed)
+    }
+}
+
+fn candidate(entry: &Entry, is_live: bool) -> Candidate {
+    Candidate {
+        instance: entry.instance.clone(),
+        address: entry.callers,
+        failure_domain: entry.failure_domain.clone(),
+        weight: 1,
+        is_up: is_live,
+        is_live,
+        is_leaving: !entry.is_ready,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pace.rs
@@ -0,0 +1,125 @@
+//! How many streams a group of ranks can carry in time.
+//!
+//! The ranks of a group run each pass together, so one stream too many makes all of them late. The
+//! published cost model gives the time of a pass without requests and what each request adds; how
+//! unevenly the work lies on the ranks it does not give. [`Group`] learns that as one factor from
+//! the pauses between the events of its own streams, predicts the pass with one request more, and
+//! lets it in while that stays under the pause that callers aim at.
+
+use std::time::Duration;
+
+use auburnline_core::time::Monotonic;
+
+use crate::route::Engine;
+
+/// Part of the longest pause that the mean pass may take: single passes are longer than the mean by
+/// the prompts that are read in them.
+const TARGET_PART: f64 = 0.75;
+/// Factor before anything was seen: the most loaded rank on an untuned map has about three times the
+/// mean (measured: 3.15), and most of the work goes to experts.
+const FIRST_FACTOR: f64 = 2.5;
+/// Bounds of the factor, so that a stall can't shut a group and a lull can't open it.
+const FACTORS: (f64, f64) = (0.8, 6.0);
+/// Time in which the factor follows what is seen by two thirds: about ten passes.
+const FACTOR_TIME: Duration = Duration::from_millis(800);
+/// Pauses beyond this many longest pauses are stalls of a broken rank and tell nothing of load.
+const STALL_PAUSES: f64 = 4.0;
+/// Fewest requests on a rank, so that a wrong factor never shuts a group.
+const LEAST_PER_RANK: f64 = 1.0;
+
+/// What runs at a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Ranks that take requests.
+    pub ranks: u32,
+    /// Requests in flight from all gateways.
+    pub in_flight: u32,
+}
+
+/// One prediction, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prediction {
+    /// Most requests that keep the pass in time.
+    pub most: f64,
+    /// Pass with one request more.
+    pub pass: Duration,
+    /// Learned factor.
+    pub factor: f64,
+}
+
+/// What this gateway knows of one group's pace.
+#[derive(Clone, Debug)]
+pub struct Group {
+    factor: f64,
+    seen_at: Option<Monotonic>,
+    mean_pass: f64,
+}
+
+impl Default for Group {
+    fn default() -> Group {
+        Group {
+            factor: FIRST_FACTOR,
+            seen_at: None,
+            mean_pass: 0.0,
+        }
+    }
+}
+
+impl Group {
+    /// Takes the pause between two events of a stream, while `load` ran.
+    pub fn observe(
+        &mut self,
+        engine: &Engine,
+        longest: Duration,
+        pause: Duration,
+        load: Load,
+        now: Monotonic,
+    ) {
+        let pause = pause.as_secs_f64();
+        if pause > longest.as_secs_f64() * STALL_PAUSES || load.in_flight == 0 {
+            return;
+        }
+        let passed = self.seen_at.map_or(FACTOR_TIME, |at| now.saturating_sub(at));
+        self.seen_at = Some(now);
+        let weight = 1.0 - (-passed.as_secs_f64() / FACTOR_TIME.as_secs_f64()).exp();
+        let slope = slope(engine, load.ranks) * f64::from(load.in_flight);
+        let seen = ((pause - base(engine)) / slope).clamp(FACTORS.0, FACTORS.1);
+        self.factor += (seen - self.factor) * weight;
+        self.mean_pass += (pause - self.mean_pass) * weight;
+    }
+
+    /// Returns the mean pass seen of late.
+    #[must_use]
+    pub fn mean_pass(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_pass)
+    }
+
+    /// Predicts the pass with one request more.
+    #[must_use]
+    pub fn predict(&self, engine: &Engine, longest: Duration, load: Load) -> Prediction {
+        let slope = slope(engine, load.ranks) * self.factor;
+        let room = longest.as_secs_f64() * TARGET_PART - base(engine);
+        let ranks = f64::from(load.ranks.max(1));
+        let places = ranks * f64::from(engine.slots);
+        let most = (room / slope).clamp(ranks * LEAST_PER_RANK, places);
+        let pass = base(engine) + slope * f64::from(load.in_flight + 1);
+        Prediction {
+            most,
+            pass: Duration::from_secs_f64(pass),
+            factor: self.factor,
+        }
+    }
+}
+
+/// Returns the seconds of a pass without requests.
+fn base(engine: &Engine) -> f64 {
+    engine.step.as_secs_f64() * f64::from(engine.steps)
+}
+
+/// Returns the seconds that one request adds to a pass if the work lies evenly on the ranks.
+fn slope(engine: &Engine, ranks: u32) -> f64 {
+    let context = engine.usual_prompt + engine.usual_answer / 2.0;
+    let context = engine.per_context.as_secs_f64() * context / 1_000.0;
+    let request = engine.per_request.as_secs_f64() + context;
+    request * f64::from(engine.steps) / f64::from(ranks.max(1))
+}
--- /dev/null
+++ b/crates/gateway/src/upstream.rs
@@ -0,0 +1,379 @@
+//! Upstreams that may take work, and the choice among them.
+//!
+//! A [`Pool`] follows the published list: an upstream that leaves gets no new work from then on, and
+//! one that is missing after the store was away is kept for a moment, since it may be written anew.
+//! The choice counts what this gateway and its neighbours have in flight at each upstream, and what
+//! its last answers showed: failures that are fresh, and times longer than its peers'.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnline_core::id::FailureDomainId;
+use auburnline_core::time::Monotonic;
+use rand::Rng;
+
+use crate::route::ServiceId;
+
+/// Id of one incarnation of an upstream.
+pub type UpstreamId = Arc<str>;
+/// Requests in flight at upstreams, as one gateway tells its neighbours.
+pub type Counts = Vec<(u32, u32)>;
+
+/// Time in which the memory of a failure halves. Troubles of upstreams last seconds, and a judgement
+/// that lasts longer keeps an upstream that is well again without work.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Requests in flight that one fresh failure weighs as much as, in parts of an upstream's places.
+const FAILURE_WEIGHT: f64 = 0.75;
+/// Most failures that are remembered.
+const MAX_FAILURES: f64 = 8.0;
+/// Weight of a new answer in the mean time of an upstream.
+const TIME_WEIGHT: f64 = 0.2;
+/// Time in which a mean forgets half of what it lies above its peers', so that a slow upstream is tried
+/// again.
+const TIME_HALF_LIFE: Duration = Duration::from_secs(4);
+/// Age at which a neighbour's counts are dropped: several of its messages are missing by then.
+const COUNTS_AGE: Duration = Duration::from_millis(1_500);
+/// Advantage of the own failure domain, in requests: less than one, so that it only breaks ties.
+const NEAR_ADVANTAGE: f64 = 0.25;
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It does.
+    Ready,
+    /// It is about to leave.
+    Draining,
+}
+
+/// One upstream, as published.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    /// Id of this incarnation.
+    pub id: UpstreamId,
+    /// Service.
+    pub service: ServiceId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: State,
+}
+
+/// How an exchange with an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// It answered in this time.
+    Answered(Duration),
+    /// It refused without running the request.
+    Refused,
+    /// It failed, or its answer was lost.
+    Failed,
+    /// The caller left; nothing is learned.
+    Cancelled,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    upstream: Arc<Upstream>,
+    tag: u32,
+    in_flight: u32,
+    failures: f64,
+    failed_at: Monotonic,
+    mean_seconds: Option<f64>,
+    mean_at: Monotonic,
+    /// When it was first missing from the list.
+    missing_since: Option<Monotonic>,
+}
+
+impl Member {
+    fn new(upstream: Upstream) -> Member {
+        Member {
+            tag: tag(&upstream.id),
+            upstream: Arc::new(upstream),
+            in_flight: 0,
+            failures: 0.0,
+            failed_at: Monotonic::ZERO,
+            mean_seconds: None,
+            mean_at: Monotonic::ZERO,
+            missing_since: None,
+        }
+    }
+
+    fn takes_work(&self) -> bool {
+        self.upstream.state == State::Ready
+    }
+
+    fn failures(&self, now: Monotonic) -> f64 {
+        self.failures * halved(now.saturating_sub(self.failed_at), FAILURE_HALF_LIFE)
+    }
+
+    fn record(&mut self, outcome: Outcome, now: Monotonic) {
+        match outcome {
+            Outcome::Answered(took) => {
+                self.failures = self.failures(now) / 2.0;
+                self.failed_at = now;
+                let took = took.as_secs_f64();
+                let mean = self.mean_seconds.unwrap_or(took);
+                self.mean_seconds = Some(mean + (took - mean) * TIME_WEIGHT);
+                self.mean_at = now;
+            }
+            Outcome::Failed | Outcome::Refused => {
+                self.failures = (self.failures(now) + 1.0).min(MAX_FAILURES);
+                self.failed_at = now;
+            }
+            Outcome::Cancelled => {}
+        }
+    }
+}
+
+/// Returns the part left after `age` of what halves in `half_life`.
+fn halved(age: Duration, half_life: Duration) -> f64 {
+    (-age.as_secs_f64() / half_life.as_secs_f64()).exp2()
+}
+
+/// Returns the short number by which gateways tell each other of an upstream.
+#[must_use]
+pub fn tag(id: &str) -> u32 {
+    let hash = auburnline_core::hash::stable(0, id.as_bytes());
+    u32::try_from(hash >> 32).unwrap_or(u32::MAX)
+}
+
+/// How upstreams of a service are compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Preference {
+    /// Ranks in lock-step: all are as slow as the slowest, so only what is in flight counts.
+    EvenLoad,
+    /// Upstreams by themselves: the time to the answer counts.
+    ShortestTime,
+}
+
+/// Why an upstream was chosen, for the log.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// Upstream.
+    pub upstream: Arc<Upstream>,
+    /// Its score; the least wins.
+    pub score: f64,
+    /// Requests in flight there, the neighbours' included.
+    pub in_flight: u32,
+    /// Upstreams that could have been chosen.
+    pub candidates: usize,
+}
+
+/// Change of the pool, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A new upstream.
+    Joined(Arc<Upstream>),
+    /// An upstream that takes no new work from now on.
+    Leaving(Arc<Upstream>),
+    /// An upstream that is gone from the list.
+    Gone(Arc<Upstream>),
+}
+
+/// All upstreams that this gateway knows.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    members: BTreeMap<UpstreamId, Member>,
+    neighbours: HashMap<u64, (Monotonic, HashMap<u32, u32>)>,
+    /// Sum of the neighbours' counts.
+    elsewhere: HashMap<u32, u32>,
+}
+
+impl Pool {
+    /// Takes an upstream as written to the list.
+    pub fn insert(&mut self, upstream: Upstream) -> Option<Change> {
+        let known = self.members.get_mut(&upstream.id);
+        let Some(member) = known else {
+            let member = Member::new(upstream);
+            let change = Change::Joined(Arc::clone(&member.upstream));
+            self.members.insert(member.upstream.id.clone(), member);
+            return Some(change);
+        };
+        member.missing_since = None;
+        let was_ready = member.takes_work();
+        member.upstream = Arc::new(upstream);
+        let is_leaving = was_ready && !member.takes_work();
+        is_leaving.then(|| Change::Leaving(Arc::clone(&member.upstream)))
+    }
+
+    /// Takes that an upstream is missing from the list; [`Pool::expire`] removes it.
+    pub fn miss(&mut self, id: &str, now: Monotonic) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.missing_since.get_or_insert(now);
+        }
+    }
+
+    /// Takes a whole list: what it does not hold is missing.
+    pub fn replace(&mut self, upstreams: Vec<Upstream>, now: Monotonic) -> Vec<Change> {
+        let listed: Vec<UpstreamId> = upstreams.iter().map(|one| one.id.clone()).collect();
+        let changes = upstreams.into_iter().filter_map(|one| self.insert(one));
+        let changes = changes.collect();
+        let unlisted = self
+            .members
+            .values_mut()
+            .filter(|member| !listed.contains(&member.upstream.id));
+        for member in unlisted {
+            member.missing_since.get_or_insert(now);
+        }
+        changes
+    }
+
+    /// Removes what is missing, unless `is_doubtful`: the store was away, and entries may return.
+    pub fn expire(&mut self, is_doubtful: bool) -> Vec<Change> {
+        if is_doubtful {
+            return Vec::new();
+        }
+        let mut gone = Vec::new();
+        self.members.retain(|_, member| {
+            let is_missing = member.missing_since.is_some();
+            if is_missing {
+                gone.push(Change::Gone(Arc::clone(&member.upstream)));
+            }
+            !is_missing
+        });
+        gone
+    }
+
+    /// Takes what a neighbour has in flight.
+    pub fn set_elsewhere(&mut self, neighbour: u64, counts: Counts, now: Monotonic) {
+        let counts = counts.into_iter().collect();
+        self.neighbours.insert(neighbour, (now, counts));
+        self.neighbours
+            .retain(|_, (at, _)| now.saturating_sub(*at) < COUNTS_AGE);
+        self.elsewhere.clear();
+        for (_, counts) in self.neighbours.values() {
+            for (tag, count) in counts {
+                let sum = self.elsewhere.entry(*tag).or_default();
+                *sum = sum.saturating_add(*count);
+            }
+        }
+    }
+
+    /// Returns what this gateway has in flight, at most `most` upstreams.
+    #[must_use]
+    pub fn counts(&self, most: usize) -> Counts {
+        let busy = self.members.values().filter(|member| member.in_flight > 0);
+        let counts = busy.map(|member| (member.tag, member.in_flight));
+        counts.take(most).collect()
+    }
+
+    /// Returns how many upstreams of a service take work.
+    #[must_use]
+    pub fn ready(&self, service: &str) -> usize {
+        self.of(service).count()
+    }
+
+    /// Returns all upstreams of a service that take work.
+    fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Member> {
+        let members = self.members.values();
+        members.filter(move |member| member.takes_work() && *member.upstream.service == *service)
+    }
+
+    /// Returns the requests in flight at a service: this gateway's and its neighbours'.
+    #[must_use]
+    pub fn in_flight(&self, service: &str) -> (u32, u32) {
+        let mut sums = (0, 0);
+        for member in self.members.values() {
+            if *member.upstream.service == *service {
+                sums.0 += member.in_flight;
+                sums.1 += self.elsewhere.get(&member.tag).copied().unwrap_or(0);
+            }
+        }
+        sums
+    }
+
+    /// Chooses an upstream of `service` that is not among `tried`.
+    pub fn choose(
+        &self,
+        service: &str,
+        preference: Preference,
+        near: &str,
+        tried: &[UpstreamId],
+        now: Monotonic,
+        rng: &mut impl Rng,
+    ) -> Option<Choice> {
+        let candidates: Vec<&Member> = self
+            .of(service)
+            .filter(|member| !tried.contains(&member.upstream.id))
+            .collect();
+        let usual = least_mean(&candidates);
+        let scored = candidates.iter().map(|member| {
+            let mut score = self.score(member, preference, usual, now);
+            if *member.upstream.failure_domain == *near {
+                score -= NEAR_ADVANTAGE;
+            }
+            (score + rng.random::<f64>() * NEAR_ADVANTAGE, *member)
+        });
+        let (score, member) = scored.min_by(|one, other| one.0.total_cmp(&other.0))?;
+        Some(Choice {
+            upstream: Arc::clone(&member.upstream),
+            score,
+            in_flight: self.load(member),
+            candidates: candidates.len(),
+        })
+    }
+
+    fn load(&self, member: &Member) -> u32 {
+        let elsewhere = self.elsewhere.get(&member.tag).copied().unwrap_or(0);
+        member.in_flight + elsewhere
+    }
+
+    /// Returns the score in requests: those before a new one, and what failures and slowness weigh.
+    fn score(
+        &self,
+        member: &Member,
+        preference: Preference,
+        usual: Option<f64>,
+        now: Monotonic,
+    ) -> f64 {
+        let slots = f64::from(member.upstream.slots.max(1));
+        let load = f64::from(self.load(member));
+        let failures = member.failures(now) * FAILURE_WEIGHT * slots;
+        match preference {
+            Preference::EvenLoad => load + failures,
+            Preference::ShortestTime => (load + 1.0) * slowness(member, usual, now) + failures,
+        }
+    }
+
+    /// Counts a request that is sent to an upstream.
+    pub fn begin(&mut self, id: &str) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.in_flight += 1;
+        }
+    }
+
+    /// Takes how a request at an upstream ended.
+    pub fn end(&mut self, id: &str, outcome: Outcome, now: Monotonic) {
+        if let Some(member) = self.members.get_mut(id) {
+            // An upstream that left the list and came back starts at none in flight.
+            member.in_flight = member.in_flight.saturating_sub(1);
+            member.record(outcome, now);
+        }
+    }
+
+    /// Returns all upstreams that are known.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.members.values().map(|member| &member.upstream)
+    }
+}
+
+fn least_mean(candidates: &[&Member]) -> Option<f64> {
+    let means = candidates.iter().filter_map(|member| member.mean_seconds);
+    means.min_by(f64::total_cmp)
+}
+
+/// Returns how many times longer an upstream takes than its fastest peer; it fades with time.
+fn slowness(member: &Member, usual: Option<f64>, now: Monotonic) -> f64 {
+    let (Some(mean), Some(usual)) = (member.mean_seconds, usual) else {
+        return 1.0;
+    };
+    let excess = (mean / usual.max(f64::EPSILON) - 1.0).max(0.0);
+    1.0 + excess * halved(now.saturating_sub(member.mean_at), TIME_HALF_LIFE)
+}
--- /dev/null
+++ b/crates/relay/src/answer.rs
@@ -0,0 +1,96 @@
+//! Answers of plain services: taken whole, then passed on.
+//!
+//! An answer that breaks off on its way never begins at the caller, so that it can still come from
+//! another upstream, or be told as a failure.
+
+use std::time::Duration;
+
+use auburnline_gateway::gateway::Refusal;
+use auburnline_gateway::route::Kind;
+use auburnline_http::Body as Incoming;
+use auburnline_http::Failure;
+use bytes::Bytes;
+use bytes::BytesMut;
+use error_stack::Report;
+use http::Response;
+use tokio::time::timeout;
+
+use crate::exchange::Exchange;
+use crate::exchange::Sent;
+use crate::exchange::refuse;
+use crate::head;
+use crate::head::Body;
+
+/// Largest answer that is taken whole.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Part of the time left that the first of several sends gets: an upstream that hangs leaves half of
+/// it to another one.
+const FIRST_PART: f64 = 0.5;
+
+/// Serves a request of a plain service.
+pub(crate) async fn serve(mut exchange: Exchange) -> Response<Body> {
+    loop {
+        let patience = patience(&exchange);
+        match exchange.send(None, patience).await {
+            Sent::Began(reply, mut flight) => {
+                let body = timeout(patience, collect(reply.body)).await;
+                let Ok(Ok(body)) = body else {
+                    flight.failed();
+                    exchange.log_failure("the answer broke off", &flight);
+                    if !may_repeat(&exchange) {
+                        return exchange.give_up("the answer broke off");
+                    }
+                    continue;
+                };
+                if reply.status.is_server_error() {
+                    flight.failed();
+                    if may_repeat(&exchange) {
+                        exchange.log_failure("the upstream failed, repeating", &flight);
+                        continue;
+                    }
+                } else {
+                    flight.answered();
+                }
+                exchange.log_answer(reply.status.as_u16(), 0);
+                let headers = head::end_to_end(&reply.headers);
+                return head::whole(reply.status, headers, body);
+            }
+            Sent::Failed { may_repeat: true } => {}
+            Sent::Failed { may_repeat: false } => return exchange.give_up("no send succeeded"),
+            Sent::Refused(refusal) => return none_left(&exchange, &refusal),
+        }
+    }
+}
+
+fn may_repeat(exchange: &Exchange) -> bool {
+    exchange.plan.route.kind.is_idempotent() && exchange.may_repeat()
+}
+
+fn none_left(exchange: &Exchange, refusal: &Refusal) -> Response<Body> {
+    if exchange.may_have_run {
+        return exchange.give_up("no upstream is left");
+    }
+    refuse(&exchange.shared, exchange.id(), Some(&exchange.plan), refusal)
+}
+
+/// Returns how long the next send may take.
+fn patience(exchange: &Exchange) -> Duration {
+    let left = exchange.left();
+    let is_last = exchange.sends + 1 >= exchange.plan.route.max_attempts;
+    if exchange.plan.route.kind == Kind::Safe && !is_last {
+        left.mul_f64(FIRST_PART)
+    } else {
+        left
+    }
+}
+
+async fn collect(mut body: Incoming) -> Result<Bytes, Report<Failure>> {
+    let mut whole = BytesMut::new();
+    while let Some(part) = body.next().await {
+        whole.extend_from_slice(&part?);
+        if whole.len() > MAX_ANSWER_BYTES {
+            return Err(Report::new(Failure::Malformed).attach("the answer is too large"));
+        }
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/crates/relay/src/exchange.rs
@@ -0,0 +1,411 @@
+//! One request of a caller, from its head to its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use auburnline_core::error::Kind;
+use auburnline_core::time::Monotonic;
+use auburnline_gateway::event::EventId;
+use auburnline_gateway::gateway::Admission;
+use auburnline_gateway::gateway::Ask;
+use auburnline_gateway::gateway::Plan;
+use auburnline_gateway::gateway::Refusal;
+use auburnline_gateway::upstream::Choice;
+use auburnline_gateway::upstream::UpstreamId;
+use auburnline_http::Connection;
+use auburnline_http::Failure;
+use auburnline_http::Reply;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt as _;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use metrics::counter;
+use metrics::histogram;
+use tokio::time::timeout;
+
+use crate::answer;
+use crate::dialect::Call;
+use crate::dialect::Onward;
+use crate::dialect::Verdict;
+use crate::flight::Flight;
+use crate::head;
+use crate::head::Body;
+use crate::shared::Shared;
+use crate::stream;
+
+/// Bound on a body before a configuration tells one.
+const FIRST_BODY_BYTES: usize = 1 << 20;
+/// Bound on the arrival of a body before a configuration tells one.
+const FIRST_ARRIVAL: Duration = Duration::from_secs(3);
+/// Sends that may fail before they reach an upstream; these run nowhere and cost no retry budget.
+const MAX_UNSENT: usize = 3;
+
+/// A caller's request, whole.
+pub(crate) struct Arrival {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) call: Call,
+}
+
+/// One request on its way, with all that its sends need.
+pub(crate) struct Exchange {
+    pub(crate) shared: Rc<Shared>,
+    pub(crate) arrival: Arrival,
+    pub(crate) plan: Plan,
+    /// Upstreams that it was sent to or that could not be reached.
+    pub(crate) tried: Vec<UpstreamId>,
+    /// Sends that reached an upstream.
+    pub(crate) sends: u32,
+    /// Sends that reached nobody.
+    unsent: usize,
+    /// Whether some upstream may have run it.
+    pub(crate) may_have_run: bool,
+}
+
+/// What became of one send.
+pub(crate) enum Sent {
+    /// An answer began.
+    Began(Reply, Flight),
+    /// No answer; whether another send may follow.
+    Failed {
+        /// Whether another send may follow.
+        may_repeat: bool,
+    },
+    /// No upstream is left.
+    Refused(Refusal),
+}
+
+/// Serves one request.
+pub(crate) async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = shared.now();
+    let (head, body) = request.into_parts();
+    let call = match shared.dialect.call(&head.uri, &head.headers) {
+        Ok(call) => call,
+        Err(kind) => return refuse(&shared, "", None, &Refusal::of(kind, "head not understood")),
+    };
+    let body = match read(&shared, body).await {
+        Ok(body) => body,
+        Err(kind) => return refuse(&shared, &call.id, None, &Refusal::of(kind, "body not taken")),
+    };
+    let planned = plan(&shared, &call, head.uri.path(), arrived);
+    let plan = match planned {
+        Ok(plan) => plan,
+        Err(refusal) => return refuse(&shared, &call.id, None, &refusal),
+    };
+    if let Err(refusal) = admit(&shared, &plan, &call).await {
+        return refuse(&shared, &call.id, Some(&plan), &refusal);
+    }
+    let path = head.uri.path_and_query();
+    let arrival = Arrival {
+        method: head.method,
+        path: path.map_or("/", |path| path.as_str()).to_owned(),
+        headers: head::end_to_end(&head.headers),
+        body,
+        call,
+    };
+    Exchange::new(shared, arrival, plan).run().await
+}
+
+async fn read(shared: &Shared, body: Incoming) -> Result<Bytes, Kind> {
+    let limits = shared.gateway().table().map(|table| table.limits());
+    let most = limits.map_or(FIRST_BODY_BYTES, |limits| limits.body_bytes);
+    let arrival = limits.map_or(FIRST_ARRIVAL, |limits| limits.idle);
+    let collected = timeout(arrival, Limited::new(body, most).collect()).await;
+    match collected {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Kind::TooLarge),
+        Ok(Err(_)) => Err(Kind::BadRequest),
+        Err(_) => Err(Kind::SlowSender),
+    }
+}
+
+fn plan(shared: &Shared, call: &Call, path: &str, now: Monotonic) -> Result<Plan, Refusal> {
+    let ask = Ask {
+        host: &call.host,
+        path,
+        key: call.key.as_deref(),
+        patience: call.patience,
+    };
+    shared.gateway().plan(&ask, now)
+}
+
+/// Waits until the request may be sent.
+async fn admit(shared: &Shared, plan: &Plan, call: &Call) -> Result<(), Refusal> {
+    loop {
+        let now = shared.now();
+        let place = shared.place(&plan.service);
+        let admission = shared.gateway().admit(plan, now);
+        match admission {
+            Admission::Go(prediction) => {
+                let waited = now.saturating_sub(plan.arrived);
+                histogram!("auburnline_admission_wait_seconds").record(waited);
+                log::debug!(
+                    target: "gateway",
+                    request = call.id.as_str(),
+                    waited_ms = millis(waited),
+                    prediction:?;
+                    "admit"
+                );
+                return Ok(());
+            }
+            Admission::Wait(until) => {
+                let _ = timeout(until.saturating_sub(now), place.notified()).await;
+            }
+            Admission::Refuse(refusal) => return Err(refusal),
+        }
+    }
+}
+
+/// Answers a request that is not served, and says why in the log.
+pub(crate) fn refuse(
+    shared: &Shared,
+    id: &str,
+    plan: Option<&Plan>,
+    refusal: &Refusal,
+) -> Response<Body> {
+    let kind = refusal.kind;
+    let gateway = shared.gateway();
+    let now = shared.now();
+    let age = gateway.knowledge.age(now).unwrap_or_default();
+    let prediction = refusal.prediction;
+    log::info!(
+        target: "gateway",
+        request = id,
+        route = plan.map_or("", |plan| plan.route.name.as_str()),
+        workspace = workspace(plan),
+        kind = kind.name().as_str(),
+        reason = refusal.reason,
+        retry_after_ms = millis(refusal.retry_after.unwrap_or_default()),
+        waited_ms = plan.map_or(0, |plan| millis(now.saturating_sub(plan.arrived))),
+        in_flight:? = plan.map(|plan| gateway.pool.in_flight(&plan.service)),
+        most:? = prediction.map(|prediction| prediction.most),
+        pass_ms:? = prediction.map(|prediction| millis(prediction.pass)),
+        factor:? = prediction.map(|prediction| prediction.factor),
+        version:? = gateway.version(),
+        age_ms = millis(age);
+        "refuse"
+    );
+    drop(gateway);
+    counter!("auburnline_refusals_total", "kind" => kind.name()).increment(1);
+    head::own(&*shared.dialect, id, kind, refusal.retry_after)
+}
+
+fn workspace(plan: Option<&Plan>) -> &str {
+    let workspace = plan.and_then(|plan| plan.workspace.as_ref());
+    workspace.map_or("", |workspace| &*workspace.name)
+}
+
+/// Returns whole milliseconds, for the log.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Exchange {
+    fn new(shared: Rc<Shared>, arrival: Arrival, plan: Plan) -> Exchange {
+        Exchange {
+            shared,
+            arrival,
+            plan,
+            tried: Vec::new(),
+            sends: 0,
+            unsent: 0,
+            may_have_run: false,
+        }
+    }
+
+    async fn run(self) -> Response<Body> {
+        if self.plan.route.kind.is_stream() {
+            stream::serve(self).await
+        } else {
+            answer::serve(self).await
+        }
+    }
+
+    /// Returns the id of the caller's attempt.
+    pub(crate) fn id(&self) -> &str {
+        &self.arrival.call.id
+    }
+
+    /// Returns the time left until the final answer is due.
+    pub(crate) fn left(&self) -> Duration {
+        self.plan.due.saturating_sub(self.shared.now())
+    }
+
+    /// Sends once, and waits no longer than `patience` for the head of the answer.
+    pub(crate) async fn send(&mut self, after: Option<EventId>, patience: Duration) -> Sent {
+        let now = self.shared.now();
+        let choice = self
+            .shared
+            .gateway()
+            .assign(&self.plan, &self.tried, now);
+        let choice = match choice {
+            Ok(choice) => choice,
+            Err(refusal) => return Sent::Refused(refusal),
+        };
+        self.log_send(&choice, after);
+        let upstream = choice.upstream;
+        let service = upstream.service.clone();
+        let mut flight = Flight::new(Rc::clone(&self.shared), service, upstream.id.clone());
+        self.tried.push(upstream.id.clone());
+        let client = self.shared.client(&upstream);
+        let result = match self.request(&client, &upstream.id, after) {
+            Ok(request) => {
+                let sent = client.send_within(request, Connection::Fresh, patience);
+                timeout(patience, sent).await
+            }
+            Err(failure) => Ok(Err(error_stack::Report::new(failure))),
+        };
+        match result {
+            Ok(Ok(reply)) => self.began(reply, flight),
+            Ok(Err(report)) => {
+                flight.failed();
+                self.failed(*report.current_context(), &flight)
+            }
+            Err(_) => {
+                flight.failed();
+                self.failed(Failure::Lost, &flight)
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        client: &auburnline_http::Client,
+        upstream: &str,
+        after: Option<EventId>,
+    ) -> Result<Request<http_body_util::Full<Bytes>>, Failure> {
+        let uri = client.uri(&self.arrival.path);
+        let uri = uri.map_err(|report| *report.current_context())?;
+        let mut headers = self.arrival.headers.clone();
+        let workspace = self.plan.workspace.as_ref();
+        let onward = Onward {
+            upstream,
+            left: self.left(),
+            workspace: workspace.map(|workspace| &*workspace.name),
+            after,
+        };
+        self.shared.dialect.onward(&mut headers, &onward);
+        let mut request = Request::new(self.arrival.body.clone().into());
+        *request.method_mut() = self.arrival.method.clone();
+        *request.uri_mut() = uri;
+        *request.headers_mut() = headers;
+        Ok(request)
+    }
+
+    fn began(&mut self, reply: Reply, mut flight: Flight) -> Sent {
+        let dialect = &self.shared.dialect;
+        match dialect.verdict(reply.status, &reply.headers, self.id()) {
+            Verdict::Answer => {
+                self.sends += 1;
+                self.may_have_run = true;
+                Sent::Began(reply, flight)
+            }
+            Verdict::NotRun => {
+                self.sends += 1;
+                flight.refused();
+                self.log_failure("refused by the upstream, not run", &flight);
+                Sent::Failed {
+                    may_repeat: self.may_repeat(),
+                }
+            }
+            Verdict::Foreign => {
+                flight.failed();
+                self.failed(Failure::Malformed, &flight)
+            }
+        }
+    }
+
+    fn failed(&mut self, failure: Failure, flight: &Flight) -> Sent {
+        self.log_failure(&failure.to_string(), flight);
+        let may_repeat = if failure == Failure::NotSent {
+            self.unsent += 1;
+            self.unsent < MAX_UNSENT
+        } else {
+            self.sends += 1;
+            self.may_have_run = true;
+            self.plan.route.kind.is_idempotent() && self.may_repeat()
+        };
+        Sent::Failed { may_repeat }
+    }
+
+    /// Asks for leave to send to one more upstream.
+    pub(crate) fn may_repeat(&self) -> bool {
+        if self.sends >= self.plan.route.max_attempts || self.left().is_zero() {
+            return false;
+        }
+        let now = self.shared.now();
+        let is_allowed = self.shared.gateway().may_repeat(&self.plan, now);
+        let outcome = if is_allowed { "repeat" } else { "no_budget" };
+        counter!("auburnline_repetitions_total", "outcome" => outcome).increment(1);
+        is_allowed
+    }
+
+    /// Answers with a failure of the gateway's own, true to what may have run.
+    pub(crate) fn give_up(&self, reason: &'static str) -> Response<Body> {
+        let is_late = self.left().is_zero();
+        let kind = match (self.may_have_run, is_late) {
+            (true, true) => Kind::Timeout,
+            (true, false) => Kind::OutcomeUnknown,
+            (false, true) => Kind::DeadlinePassed,
+            (false, false) => Kind::Unreachable,
+        };
+        let refusal = Refusal::of(kind, reason);
+        refuse(&self.shared, self.id(), Some(&self.plan), &refusal)
+    }
+
+    fn log_send(&self, choice: &Choice, after: Option<EventId>) {
+        log::info!(
+            target: "gateway",
+            request = self.id(),
+            route = self.plan.route.name.as_str(),
+            workspace = workspace(Some(&self.plan)),
+            upstream = &*choice.upstream.id,
+            send = self.sends + 1,
+            after:?,
+            in_flight = choice.in_flight,
+            score = choice.score,
+            candidates = choice.candidates,
+            left_ms = millis(self.left()),
+            version = self.plan.version,
+            age_ms = millis(self.plan.age);
+            "send"
+        );
+        counter!("auburnline_sends_total").increment(1);
+    }
+
+    /// Says in the log why a send has no answer.
+    pub(crate) fn log_failure(&self, cause: &str, flight: &Flight) {
+        log::info!(
+            target: "gateway",
+            request = self.id(),
+            upstream = &**flight.upstream(),
+            cause,
+            left_ms = millis(self.left());
+            "fail"
+        );
+        counter!("auburnline_failures_total").increment(1);
+    }
+
+    /// Says in the log how the request ended.
+    pub(crate) fn log_answer(&self, status: u16, events: u64) {
+        let took = self.shared.now().saturating_sub(self.plan.arrived);
+        log::info!(
+            target: "gateway",
+            request = self.id(),
+            status,
+            events,
+            sends = self.sends,
+            took_ms = millis(took);
+            "answer"
+        );
+        counter!("auburnline_answers_total", "status" => status.to_string()).increment(1);
+        histogram!("auburnline_answer_seconds").record(took);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/stream.rs
@@ -0,0 +1,200 @@
+//! Streams: events passed on as they come, and gone on with after a break.
+//!
+//! Only whole events are passed on, so that a run that breaks off leaves no torn event, and another
+//! run can go on after the last whole one. A stream that can't go on breaks off at the caller too,
+//! so that it never looks complete.
+
+use std::time::Duration;
+
+use auburnline_core::time::Monotonic;
+use auburnline_gateway::event::EventId;
+use auburnline_gateway::event::Splitter;
+use auburnline_http::Body as Incoming;
+use bytes::Bytes;
+use futures::StreamExt as _;
+use futures::stream;
+use http::Response;
+use hyper::body::Frame;
+use metrics::counter;
+use metrics::histogram;
+use tokio::time::timeout;
+
+use crate::exchange::Exchange;
+use crate::exchange::Sent;
+use crate::exchange::refuse;
+use crate::flight::Flight;
+use crate::head;
+use crate::head::Body;
+use crate::head::Broken;
+
+/// A stream on its way.
+struct Passage {
+    exchange: Exchange,
+    body: Incoming,
+    flight: Flight,
+    splitter: Splitter,
+    events: u64,
+    last_at: Option<Monotonic>,
+    is_over: bool,
+}
+
+/// What the upstream gave next.
+enum Next {
+    /// Whole events.
+    Events(Bytes),
+    /// The end.
+    End,
+    /// A break.
+    Break(&'static str),
+}
+
+/// Serves a request whose answer is a stream.
+pub(crate) async fn serve(mut exchange: Exchange) -> Response<Body> {
+    let after = exchange.arrival.call.after;
+    loop {
+        let patience = exchange.left();
+        match exchange.send(None, patience).await {
+            Sent::Began(reply, mut flight) => {
+                let headers = head::end_to_end(&reply.headers);
+                let status = reply.status;
+                if status.is_server_error() {
+                    flight.failed();
+                    if exchange.plan.route.kind.is_idempotent() && exchange.may_repeat() {
+                        exchange.log_failure("the upstream failed, repeating", &flight);
+                        continue;
+                    }
+                }
+                let passage = Passage::new(exchange, reply.body, flight, after);
+                return head::streamed(status, headers, passage.events());
+            }
+            Sent::Failed { may_repeat: true } => {}
+            Sent::Failed { may_repeat: false } => return exchange.give_up("no send succeeded"),
+            Sent::Refused(refusal) => {
+                if exchange.may_have_run {
+                    return exchange.give_up("no upstream is left");
+                }
+                return refuse(&exchange.shared, exchange.id(), Some(&exchange.plan), &refusal);
+            }
+        }
+    }
+}
+
+impl Passage {
+    fn new(exchange: Exchange, body: Incoming, flight: Flight, after: Option<EventId>) -> Passage {
+        Passage {
+            exchange,
+            body,
+            flight,
+            splitter: Splitter::after(after),
+            events: 0,
+            last_at: None,
+            is_over: false,
+        }
+    }
+
+    /// Returns the events as a body.
+    fn events(self) -> head::Events {
+        stream::unfold(self, |mut passage| async move {
+            let frame = passage.frame().await?;
+            Some((frame, passage))
+        })
+        .boxed_local()
+    }
+
+    /// Returns the next frame, or none after the end.
+    async fn frame(&mut self) -> Option<Result<Frame<Bytes>, Broken>> {
+        while !self.is_over {
+            match self.next().await {
+                Next::Events(bytes) => return Some(Ok(Frame::data(bytes))),
+                Next::End => return self.end(),
+                Next::Break(cause) => {
+                    self.flight.failed();
+                    self.exchange.log_failure(cause, &self.flight);
+                    if !self.resume().await {
+                        self.is_over = true;
+                        self.log("broken");
+                        return Some(Err(Broken(cause)));
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    async fn next(&mut self) -> Next {
+        loop {
+            let left = self.exchange.left();
+            let part = match timeout(left, self.body.next()).await {
+                Ok(Some(Ok(part))) => part,
+                Ok(Some(Err(_))) => return Next::Break("the stream broke off"),
+                Ok(None) => return Next::End,
+                Err(_) => return Next::Break("the time is over"),
+            };
+            let events = self.splitter.push(&part);
+            if events.count > 0 {
+                self.observe();
+                self.events += events.count as u64;
+            }
+            if !events.bytes.is_empty() {
+                return Next::Events(events.bytes.into());
+            }
+        }
+    }
+
+    /// Learns from the time of an event.
+    fn observe(&mut self) {
+        let now = self.exchange.shared.now();
+        let plan = &self.exchange.plan;
+        match self.last_at.replace(now) {
+            None => {
+                let first = now.saturating_sub(plan.arrived);
+                histogram!("auburnline_first_event_seconds").record(first);
+            }
+            Some(last) => {
+                let pause = now.saturating_sub(last);
+                histogram!("auburnline_pause_seconds").record(pause);
+                self.exchange.shared.gateway().observe(plan, pause, now);
+            }
+        }
+    }
+
+    fn end(&mut self) -> Option<Result<Frame<Bytes>, Broken>> {
+        self.is_over = true;
+        self.flight.answered();
+        self.log("complete");
+        let rest = self.splitter.rest();
+        (!rest.is_empty()).then(|| Ok(Frame::data(rest.into())))
+    }
+
+    /// Goes on at another upstream; returns whether it could.
+    async fn resume(&mut self) -> bool {
+        let kind = self.exchange.plan.route.kind;
+        if !kind.is_idempotent() || !self.exchange.may_repeat() {
+            return false;
+        }
+        let after = self.splitter.last();
+        loop {
+            let patience = self.patience();
+            match self.exchange.send(after, patience).await {
+                Sent::Began(reply, flight) if reply.status.is_success() => {
+                    self.body = reply.body;
+                    self.flight = flight;
+                    self.splitter = Splitter::after(after);
+                    counter!("auburnline_resumed_streams_total").increment(1);
+                    return true;
+                }
+                Sent::Failed { may_repeat: true } => {}
+                Sent::Began(..) | Sent::Failed { .. } | Sent::Refused(_) => return false,
+            }
+        }
+    }
+
+    fn patience(&self) -> Duration {
+        self.exchange.left()
+    }
+
+    fn log(&self, outcome: &'static str) {
+        let status = if outcome == "complete" { 200 } else { 0 };
+        self.exchange.log_answer(status, self.events);
+    }
+}
--- a/crates/retries/src/budget.rs
+++ b/crates/retries/src/budget.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Changes what is allowed; what is saved beyond a smaller reserve is cut at the next change.
+    pub fn resize(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Pays in for a first attempt.
     pub fn first(&mut self, now: Monotonic, upstream: &U, workspace: &W) {
         let settings = self.settings;
