--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -156,7 +156,12 @@
 impl Gateway {
     /// Returns a gateway that knows nothing yet.
     #[must_use]
-    pub fn new(failure_domain: FailureDomainId, bounds: Bounds, roster: Roster, seed: u64) -> Gateway {
+    pub fn new(
+        failure_domain: FailureDomainId,
+        bounds: Bounds,
+        roster: Roster,
+        seed: u64,
+    ) -> Gateway {
         Gateway {
             failure_domain,
             table: None,
@@ -258,7 +263,10 @@
     fn service(&mut self, route: &Route) -> ServiceId {
         let usable = |service: &str| self.pool.ready(service) > 0;
         let mut targets: Vec<_> = route.targets.iter().collect();
-        if targets.iter().any(|target| target.weight > 0 && usable(&target.service)) {
+        if targets
+            .iter()
+            .any(|target| target.weight > 0 && usable(&target.service))
+        {
             targets.retain(|target| usable(&target.service));
         }
         let sum: u32 = targets.iter().map(|target| target.weight).sum();
@@ -269,7 +277,9 @@
             }
             drawn -= target.weight;
         }
-        targets.first().map_or_else(|| Arc::from(""), |target| Arc::clone(&target.service))
+        targets
+            .first()
+            .map_or_else(|| Arc::from(""), |target| Arc::clone(&target.service))
     }
 
     /// Decides whether a planned request may be sent now.
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -34,7 +34,7 @@
 /// Upstreams that one beat gives counts of.
 pub const MAX_COUNTS: usize = 64;
 /// Time after which a gateway that was not heard of is forgotten.
-const FORGET: Duration = Duration::from_secs(60);
+const FORGET: Duration = Duration::from_mins(1);
 /// Beats after which the seeds are told again, since they may have been down.
 const SEED_BEATS: u64 = 6;
 
@@ -156,9 +156,8 @@
         if !is_newer {
             return None;
         }
-        let is_news = known.is_none_or(|known| {
-            !known.lives(now) || known.entry.is_ready != entry.is_ready
-        });
+        let is_news =
+            known.is_none_or(|known| !known.lives(now) || known.entry.is_ready != entry.is_ready);
         let entry = entry.clone();
         let news = News {
             instance: entry.instance.clone(),
@@ -196,7 +195,7 @@
         let live = self.others.values().filter(|known| known.lives(now));
         let addresses = live.map(|known| known.entry.peers);
         let mut targets = addresses.choose_multiple(rng, FANOUT);
-        if targets.len() < FANOUT / 2 || self.me.beat % SEED_BEATS == 0 {
+        if targets.len() < FANOUT / 2 || self.me.beat.is_multiple_of(SEED_BEATS) {
             targets.extend(self.seeds.iter().filter(|seed| **seed != self.me.peers));
         }
         targets.sort_unstable();
@@ -207,7 +206,11 @@
     /// Returns how many gateways live, this one included.
     #[must_use]
     pub fn live(&self, now: Monotonic) -> usize {
-        1 + self.others.values().filter(|known| known.lives(now)).count()
+        1 + self
+            .others
+            .values()
+            .filter(|known| known.lives(now))
+            .count()
     }
 
     /// Returns the most gateways that lived at once: a safe divisor of what all share, since a
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -79,7 +79,9 @@
         if pause > longest.as_secs_f64() * STALL_PAUSES || load.in_flight == 0 {
             return;
         }
-        let passed = self.seen_at.map_or(FACTOR_TIME, |at| now.saturating_sub(at));
+        let passed = self
+            .seen_at
+            .map_or(FACTOR_TIME, |at| now.saturating_sub(at));
         self.seen_at = Some(now);
         let weight = 1.0 - (-passed.as_secs_f64() / FACTOR_TIME.as_secs_f64()).exp();
         let slope = slope(engine, load.ranks) * f64::from(load.in_flight);
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -203,8 +203,8 @@
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(&host.to_ascii_lowercase())?;
-        let ends = path.rmatch_indices('/').map(|(at, _)| at);
-        ends.filter_map(|at| routes.get(&path[..=at])).next()
+        let mut ends = path.rmatch_indices('/').map(|(at, _)| at);
+        ends.find_map(|at| routes.get(&path[..=at]))
     }
 
     /// Returns the workspace that holds `key`.
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -70,7 +70,12 @@
     if exchange.may_have_run {
         return exchange.give_up("no upstream is left");
     }
-    refuse(&exchange.shared, exchange.id(), Some(&exchange.plan), refusal)
+    refuse(
+        &exchange.shared,
+        exchange.id(),
+        Some(&exchange.plan),
+        refusal,
+    )
 }
 
 /// Returns how long the next send may take.
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -7,8 +7,8 @@
 use auburnline_gateway::neighbour::Beat;
 use auburnline_gateway::neighbour::MAX_COUNTS;
 use auburnline_gateway::neighbour::PERIOD;
-use rand::rngs::SmallRng;
 use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -19,7 +19,7 @@
 /// gateway sends.
 const MAX_BEAT_BYTES: usize = 8 << 10;
 /// Time between two ticks from which on this process counts as having stood still.
-const PAUSE: Duration = Duration::from_millis(1_000);
+const PAUSE: Duration = Duration::from_secs(1);
 
 /// Sends beats at a steady pace and takes those of others.
 pub(crate) async fn run(shared: Rc<Shared>, socket: UdpSocket) {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -92,7 +92,14 @@
     };
     let body = match read(&shared, body).await {
         Ok(body) => body,
-        Err(kind) => return refuse(&shared, &call.id, None, &Refusal::of(kind, "body not taken")),
+        Err(kind) => {
+            return refuse(
+                &shared,
+                &call.id,
+                None,
+                &Refusal::of(kind, "body not taken"),
+            );
+        }
     };
     let planned = plan(&shared, &call, head.uri.path(), arrived);
     let plan = match planned {
@@ -241,10 +248,7 @@
     /// Sends once, and waits no longer than `patience` for the head of the answer.
     pub(crate) async fn send(&mut self, after: Option<EventId>, patience: Duration) -> Sent {
         let now = self.shared.now();
-        let choice = self
-            .shared
-            .gateway()
-            .assign(&self.plan, &self.tried, now);
+        let choice = self.shared.gateway().assign(&self.plan, &self.tried, now);
         let choice = match choice {
             Ok(choice) => choice,
             Err(refusal) => return Sent::Refused(refusal),
--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -57,9 +57,7 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         let now = self.shared.now();
-        self.shared
-            .gateway()
-            .end(&self.upstream, self.outcome, now);
+        self.shared.gateway().end(&self.upstream, self.outcome, now);
         self.shared.place(&self.service).notify_one();
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -129,7 +129,11 @@
     }
     spawn_local(beats::run(Rc::clone(shared), socket));
     let most = settings.descriptors / CALLERS_PART;
-    Ok(spawn_local(callers::listen(Rc::clone(shared), callers, most)))
+    Ok(spawn_local(callers::listen(
+        Rc::clone(shared),
+        callers,
+        most,
+    )))
 }
 
 /// Leaves: says so, takes new connections a while longer, and ends once all is answered.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -26,7 +26,7 @@
 /// and short beside the aims of callers, so that another upstream can still answer in time.
 const CONNECT: Duration = Duration::from_millis(300);
 /// Bound on waits within an exchange that the request's own deadline does not bound sooner.
-const LONGEST: Duration = Duration::from_secs(60);
+const LONGEST: Duration = Duration::from_mins(1);
 
 /// State of one gateway.
 pub(crate) struct Shared {
@@ -109,7 +109,7 @@
         if gateway.roster.set_ready(is_ready) {
             let age = gateway.knowledge.age(now).unwrap_or_default();
             let version = gateway.version();
-            log::info!(target: "gateway", is_ready, version:?, age_ms = age.as_millis() as u64; "readiness");
+            log::info!(target: "gateway", is_ready, version:?, age_ms = crate::exchange::millis(age); "readiness");
         }
     }
 
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -32,7 +32,7 @@
         let now = self.0.now();
         let change = self.0.gateway().knowledge.confirm(asked, now);
         if change == knowledge::Change::Regained {
-            log::info!(target: "store", age_ms = now.saturating_sub(asked).as_millis() as u64; "regained");
+            log::info!(target: "store", age_ms = crate::exchange::millis(now.saturating_sub(asked)); "regained");
         }
         self.0.refresh();
     }
@@ -42,7 +42,7 @@
         let mut gateway = self.0.gateway();
         if gateway.knowledge.miss() == knowledge::Change::Lost {
             let age = gateway.knowledge.age(self.0.now()).unwrap_or_default();
-            log::warn!(target: "store", cause, age_ms = age.as_millis() as u64; "lost");
+            log::warn!(target: "store", cause, age_ms = crate::exchange::millis(age); "lost");
         }
         drop(gateway);
         metrics::counter!("auburnline_store_failures_total").increment(1);
@@ -57,7 +57,7 @@
         drop(gateway);
         let outcome = if is_newer { "in_force" } else { "not_newer" };
         log::info!(target: "store", version, before:?, outcome; "configuration");
-        metrics::gauge!("auburnline_configuration_version").set(version as f64);
+        metrics::counter!("auburnline_configuration_version").absolute(version);
         self.0.refresh();
     }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -73,7 +73,12 @@
                 if exchange.may_have_run {
                     return exchange.give_up("no upstream is left");
                 }
-                return refuse(&exchange.shared, exchange.id(), Some(&exchange.plan), &refusal);
+                return refuse(
+                    &exchange.shared,
+                    exchange.id(),
+                    Some(&exchange.plan),
+                    &refusal,
+                );
             }
         }
     }
