--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::exchange::Exchange;
+use crate::exchange::Pace;
 use crate::exchange::Sent;
 use crate::exchange::refuse;
 use crate::head;
@@ -51,7 +52,7 @@
                 } else {
                     flight.answered();
                 }
-                exchange.log_answer(reply.status.as_u16(), 0);
+                exchange.log_answer(reply.status.as_u16(), &Pace::default());
                 let headers = head::end_to_end(&reply.headers);
                 return head::whole(reply.status, headers, body);
             }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -69,6 +69,15 @@
     pub(crate) may_have_run: bool,
 }
 
+/// How a stream's events came.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pace {
+    pub(crate) events: u64,
+    /// Time from the request to its first event.
+    pub(crate) first: Duration,
+    pub(crate) longest_pause: Duration,
+}
+
 /// What became of one send.
 pub(crate) enum Sent {
     /// An answer began.
@@ -397,14 +406,23 @@
         counter!("auburnline_failures_total").increment(1);
     }
 
+    fn mean_pass(&self) -> Option<Duration> {
+        let gateway = self.shared.gateway();
+        let group = gateway.group(&self.plan.service)?;
+        Some(group.mean_pass())
+    }
+
     /// Says in the log how the request ended.
-    pub(crate) fn log_answer(&self, status: u16, events: u64) {
+    pub(crate) fn log_answer(&self, status: u16, pace: &Pace) {
         let took = self.shared.now().saturating_sub(self.plan.arrived);
         log::info!(
             target: "gateway",
             request = self.id(),
             status,
-            events,
+            events = pace.events,
+            first_ms = millis(pace.first),
+            longest_pause_ms = millis(pace.longest_pause),
+            mean_pass_ms = self.mean_pass().map_or(0, millis),
             sends = self.sends,
             took_ms = millis(took);
             "answer"
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::exchange::Exchange;
+use crate::exchange::Pace;
 use crate::exchange::Sent;
 use crate::exchange::refuse;
 use crate::flight::Flight;
@@ -33,7 +34,7 @@
     body: Incoming,
     flight: Flight,
     splitter: Splitter,
-    events: u64,
+    pace: Pace,
     last_at: Option<Monotonic>,
     is_over: bool,
 }
@@ -91,7 +92,7 @@
             body,
             flight,
             splitter: Splitter::after(after),
-            events: 0,
+            pace: Pace::default(),
             last_at: None,
             is_over: false,
         }
@@ -138,7 +139,7 @@
             let events = self.splitter.push(&part);
             if events.count > 0 {
                 self.observe();
-                self.events += events.count as u64;
+                self.pace.events += events.count as u64;
             }
             if !events.bytes.is_empty() {
                 return Next::Events(events.bytes.into());
@@ -153,10 +154,12 @@
         match self.last_at.replace(now) {
             None => {
                 let first = now.saturating_sub(plan.arrived);
+                self.pace.first = first;
                 histogram!("auburnline_first_event_seconds").record(first);
             }
             Some(last) => {
                 let pause = now.saturating_sub(last);
+                self.pace.longest_pause = self.pace.longest_pause.max(pause);
                 histogram!("auburnline_pause_seconds").record(pause);
                 self.exchange.shared.gateway().observe(plan, pause, now);
             }
@@ -200,6 +203,6 @@
 
     fn log(&self, outcome: &'static str) {
         let status = if outcome == "complete" { 200 } else { 0 };
-        self.exchange.log_answer(status, self.events);
+        self.exchange.log_answer(status, &self.pace);
     }
 }
