Change expert maps from sidecars by prepare, hold, arm and release

Sidecars read their own rank's counts (free there), the one beside rank 0 plans by small changes (the search of auburnline-rebalance) and leads the change.

--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -3,7 +3,7 @@
 //! A process of the system is a handful of duties. Each has a thread of its own with a
 //! single-threaded runtime ([`thread`]), and duties pass messages over rings of fixed capacity
 //! ([`ring`]): a full ring is an answer, never a wait without limit. [`clock`] gives the time that
-//! decisions see; [`logging`], [`decisions`] and [`metrics`] let operators look in. Nothing here
+//! decisions see; [`logging`], [`decisions`] and [`metrics`] with [`scrape`] let operators look in. Nothing here
 //! decides anything.
 
 pub mod clock;
@@ -11,4 +11,5 @@
 pub mod logging;
 pub mod metrics;
 pub mod ring;
+pub mod scrape;
 pub mod thread;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,8 @@
 use auburnline_core::error::Kind as ErrorKind;
 use auburnline_core::id::FailureDomainId;
 use auburnline_core::time::Monotonic;
+use auburnline_lockstep::message::Ask;
+use auburnline_lockstep::message::Members;
 use auburnline_retries::budget;
 use auburnline_retries::budget::Budget;
 use rand::Rng;
@@ -63,7 +65,7 @@
 
 /// What a caller asks for.
 #[derive(Clone, Copy, Debug)]
-pub struct Ask<'a> {
+pub struct Request<'a> {
     /// Host.
     pub host: &'a str,
     /// Path without query.
@@ -222,7 +224,7 @@
     /// # Errors
     ///
     /// Returns why it may not.
-    pub fn plan(&mut self, ask: &Ask<'_>, now: Monotonic) -> Result<Plan, Refusal> {
+    pub fn plan(&mut self, request: &Request<'_>, now: Monotonic) -> Result<Plan, Refusal> {
         let Some(table) = self.table.clone() else {
             let refusal = Refusal::of(ErrorKind::NotReady, "no configuration");
             return Err(refusal.after(ELSEWHERE_RETURN));
@@ -231,11 +233,11 @@
         let is_fresh = self.knowledge.is_fresh(now);
         let stale = Refusal::of(ErrorKind::NotReady, "configuration may be outdated");
         let stale = stale.after(ELSEWHERE_RETURN);
-        let Some(route) = table.route(ask.host, ask.path) else {
+        let Some(route) = table.route(request.host, request.path) else {
             let refusal = Refusal::of(ErrorKind::UnknownRoute, "no route");
             return Err(if is_fresh { refusal } else { stale });
         };
-        let workspace = ask.key.and_then(|key| table.workspace(key)).cloned();
+        let workspace = request.key.and_then(|key| table.workspace(key)).cloned();
         if !route.is_anonymous {
             if !is_fresh {
                 return Err(stale);
@@ -246,7 +248,7 @@
         }
         let service = self.service(route);
         let engine = table.service(&service).and_then(|service| service.engine);
-        let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+        let patience = request.patience.unwrap_or(route.timeout).min(route.timeout);
         Ok(Plan {
             route: Arc::clone(route),
             service,
@@ -329,6 +331,20 @@
         group.observe(&engine, longest, pause, load, now);
     }
 
+    /// Answers a sidecar that asks who serves a service.
+    #[must_use]
+    pub fn members(&self, ask: &Ask) -> Members {
+        let service = self.table.as_ref().and_then(|table| table.service(&ask.service));
+        let engine = service.and_then(|service| service.engine);
+        let upstreams = self.pool.iter();
+        let upstreams = upstreams.filter(|upstream| *upstream.service == *ask.service);
+        Members {
+            service: ask.service.clone(),
+            upstreams: upstreams.map(|upstream| upstream.address).collect(),
+            shape: engine.and_then(|engine| engine.shape),
+        }
+    }
+
     /// Returns what is known of a group's pace.
     #[must_use]
     pub fn group(&self, service: &str) -> Option<&pace::Group> {
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -12,6 +12,7 @@
 use auburnline_core::id::Incarnation;
 use auburnline_core::id::InstanceId;
 use auburnline_core::time::Monotonic;
+use auburnline_lockstep::message::Ask;
 use auburnline_membership::discovery;
 use auburnline_membership::discovery::Candidate;
 use auburnline_membership::discovery::Offer;
@@ -68,6 +69,15 @@
     pub others: Vec<Entry>,
 }
 
+/// Message to a gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// Beat of another gateway.
+    Beat(Beat),
+    /// Question of a sidecar.
+    Ask(Ask),
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     entry: Entry,
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use auburnline_core::id::WorkspaceId;
+use auburnline_lockstep::layout::Shape;
 
 /// Name of a service.
 pub type ServiceId = Arc<str>;
@@ -102,6 +103,8 @@
     pub usual_answer: f64,
     /// Time that a group needs to form anew.
     pub form: Duration,
+    /// Shape of its experts, where it has some.
+    pub shape: Option<Shape>,
 }
 
 /// One service.
--- /dev/null
+++ b/crates/lockstep/src/coordinator.rs
@@ -0,0 +1,373 @@
+//! The sidecar beside rank 0, which leads its group's changes.
+//!
+//! It keeps the newest sight of each rank, decides on a new layout when none is under way, and takes
+//! the change through its phases. After a restart it looks at all ranks first and takes over what it
+//! finds. It begins nothing new for a while then, since late orders of the one before could
+//! still bring a map of the same number.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnline_core::id::Expert;
+use auburnline_core::id::Rank;
+use auburnline_core::id::Step;
+use auburnline_core::time::Monotonic;
+use rand::Rng;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::change::Change;
+use crate::change::Order;
+use crate::change::Phase;
+use crate::change::Progress;
+use crate::layout::Layout;
+use crate::layout::Shape;
+use crate::plan::Plan;
+use crate::plan::plan;
+use crate::popularity::Popularity;
+use crate::sight::Epoch;
+use crate::sight::Sight;
+use crate::sight::Version;
+
+/// Rank beside which the coordinator runs; it also holds.
+pub const HOLDER: Rank = 0;
+/// Time for which an order that was not answered may still be carried out, with a margin: platforms
+/// carry late ones out up to 12 s later.
+const LATE_ORDERS: Duration = Duration::from_millis(12_500);
+/// Age of a sight beyond which a rank counts as out of reach.
+const SIGHT_AGE: Duration = Duration::from_millis(1_200);
+/// Time without an effect after which an order is given again: some round trips and a report.
+const AGAIN: Duration = Duration::from_millis(150);
+/// Time beyond the copying after which an order to prepare is given again.
+const PREPARE_AGAIN: Duration = Duration::from_millis(500);
+/// Longest time to prepare a change; then another one is planned.
+const LONGEST_PREPARATION: Duration = Duration::from_secs(3);
+/// Time between two plans; popularity does not tell more within less.
+const PLAN_PERIOD: Duration = Duration::from_millis(400);
+/// Passes between the newest one seen and the one to hold: the orders to hold and to arm take about
+/// two passes, and a pass more to spare costs less than a group that waits.
+const AHEAD: Step = 4;
+/// Numbers skipped at most between two versions, so that two coordinators hardly pick the same.
+const SKIPPED: Version = 1 << 16;
+
+/// An order on its way to a rank.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Send {
+    /// Rank.
+    pub rank: Rank,
+    /// Epoch in which the order holds.
+    pub epoch: Epoch,
+    /// Order.
+    pub order: Order,
+    /// Layout to prepare.
+    pub layout: Option<Arc<Layout>>,
+}
+
+/// Something to tell in the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A change begins.
+    Begun(Version, Plan),
+    /// A change found after a start goes on.
+    Found(Version, Phase),
+    /// A change is in force.
+    Done(Version),
+    /// A change ended without effect.
+    Void(Version, &'static str),
+    /// The group formed anew, or was seen first.
+    Formed(Epoch),
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    sight: Sight,
+    seen: Monotonic,
+    held: Option<Vec<Vec<Expert>>>,
+}
+
+/// Layout with its number.
+#[derive(Clone, Debug)]
+struct Known {
+    version: Version,
+    layout: Arc<Layout>,
+}
+
+/// State of the coordinator.
+pub struct Coordinator {
+    shape: Shape,
+    members: BTreeMap<Rank, Member>,
+    epoch: Option<Epoch>,
+    popularity: Popularity,
+    in_force: Option<Known>,
+    next: Option<Known>,
+    change: Option<Change>,
+    began: Monotonic,
+    given: BTreeMap<Rank, (Order, Monotonic)>,
+    planned_at: Monotonic,
+    quiet_until: Monotonic,
+    rng: ChaCha8Rng,
+    notes: Vec<Note>,
+}
+
+impl Coordinator {
+    /// Returns a coordinator that has seen nothing; `is_first` if no other can have been before it.
+    #[must_use]
+    pub fn new(shape: Shape, is_first: bool, seed: u64, now: Monotonic) -> Coordinator {
+        let quiet = if is_first { Duration::ZERO } else { LATE_ORDERS };
+        Coordinator {
+            shape,
+            members: BTreeMap::new(),
+            epoch: None,
+            popularity: Popularity::new(shape.layers, shape.experts),
+            in_force: None,
+            next: None,
+            change: None,
+            began: now,
+            given: BTreeMap::new(),
+            planned_at: now,
+            quiet_until: now + quiet,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            notes: Vec::new(),
+        }
+    }
+
+    /// Returns whether the ranks must tell what they hold.
+    #[must_use]
+    pub fn wants_layout(&self) -> bool {
+        self.epoch.is_some() && self.in_force.is_none()
+    }
+
+    /// Returns what there is to tell since the last call.
+    pub fn notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Takes the state of one rank.
+    pub fn see(
+        &mut self,
+        sight: Sight,
+        choices: &[u32],
+        held: Option<Vec<Vec<Expert>>>,
+        now: Monotonic,
+    ) {
+        if self.epoch.is_none_or(|epoch| sight.epoch > epoch) {
+            self.form(sight.epoch, now);
+        }
+        if self.epoch != Some(sight.epoch) {
+            return;
+        }
+        if choices.len() == self.shape.layers * self.shape.experts {
+            self.popularity.add(choices, now);
+        }
+        let before = self.members.remove(&sight.rank);
+        let held = held.or(before.and_then(|member| member.held));
+        let member = Member {
+            held,
+            seen: now,
+            sight,
+        };
+        self.members.insert(member.sight.rank, member);
+    }
+
+    /// Begins a new epoch: whatever was prepared, armed or held is void.
+    fn form(&mut self, epoch: Epoch, now: Monotonic) {
+        if self.epoch.is_some() {
+            // Orders of the epoch before are refused, so none of them can come late.
+            self.quiet_until = now;
+        }
+        if let Some(change) = self.change.take() {
+            self.notes.push(Note::Void(change.version(), "new epoch"));
+        }
+        self.epoch = Some(epoch);
+        self.members.clear();
+        self.given.clear();
+        self.in_force = None;
+        self.next = None;
+        self.notes.push(Note::Formed(epoch));
+    }
+
+    /// Says what to order now.
+    pub fn tick(&mut self, now: Monotonic) -> Vec<Send> {
+        if !self.is_whole() {
+            return Vec::new();
+        }
+        self.settle();
+        if self.change.is_none() {
+            self.take_over(now);
+        }
+        if self.change.is_none() {
+            self.begin(now);
+        }
+        self.advance(now)
+    }
+
+    /// Returns whether each rank was seen.
+    fn is_whole(&self) -> bool {
+        let size = self.members.values().next().map(|member| member.sight.size);
+        size.is_some_and(|size| self.members.len() == usize::from(size))
+    }
+
+    fn sights(&self) -> Vec<&Sight> {
+        self.members.values().map(|member| &member.sight).collect()
+    }
+
+    /// Learns which layout is in force.
+    fn settle(&mut self) {
+        let sights = self.sights();
+        let Some(first) = sights.first() else {
+            return;
+        };
+        let version = first.version;
+        if sights.iter().any(|sight| sight.version != version) {
+            return;
+        }
+        if self.in_force.as_ref().is_some_and(|known| known.version == version) {
+            return;
+        }
+        let size = first.size;
+        let next = self.next.take_if(|known| known.version == version);
+        let known = next.map(|known| known.layout).or_else(|| {
+            let is_initial = version == 0;
+            is_initial.then(|| Arc::new(Layout::initial(&self.shape, size)))
+        });
+        let layout = known.or_else(|| self.told().map(Arc::new));
+        self.in_force = layout.map(|layout| Known { version, layout });
+    }
+
+    /// Returns the layout as the ranks tell it.
+    fn told(&self) -> Option<Layout> {
+        let ranks: Option<Vec<_>> = self.members.values().map(|member| member.held.clone()).collect();
+        let ranks = ranks?;
+        let layer = |layer: usize| {
+            let held = ranks.iter().map(|held| held.get(layer).cloned());
+            held.collect::<Option<Vec<_>>>()
+        };
+        let layers: Option<Vec<_>> = (0..self.shape.layers).map(layer).collect();
+        layers.map(Layout)
+    }
+
+    fn take_over(&mut self, now: Monotonic) {
+        let Some(change) = Change::found(&self.sights(), HOLDER) else {
+            return;
+        };
+        self.notes.push(Note::Found(change.version(), change.phase()));
+        self.change = Some(change);
+        self.began = now;
+    }
+
+    /// Begins a change if one is worth it.
+    fn begin(&mut self, now: Monotonic) {
+        let is_due = now.saturating_sub(self.planned_at) >= PLAN_PERIOD;
+        if !is_due || now < self.quiet_until || !self.is_calm(now) {
+            return;
+        }
+        let (Some(known), Some(shares)) = (&self.in_force, self.popularity.shares()) else {
+            return;
+        };
+        self.planned_at = now;
+        let Some(plan) = plan(&known.layout, &shares, &self.shape) else {
+            return;
+        };
+        let version = self.next_version();
+        let Some(epoch) = self.epoch else {
+            return;
+        };
+        self.next = Some(Known {
+            version,
+            layout: Arc::new(plan.layout.clone()),
+        });
+        self.change = Some(Change::new(epoch, version));
+        self.began = now;
+        self.given.clear();
+        self.notes.push(Note::Begun(version, plan));
+    }
+
+    /// Returns whether all ranks are in reach, in one map, and nothing is under way.
+    fn is_calm(&self, now: Monotonic) -> bool {
+        let version = self.in_force.as_ref().map(|known| known.version);
+        self.members.values().all(|member| {
+            let sight = &member.sight;
+            let is_fresh = now.saturating_sub(member.seen) < SIGHT_AGE;
+            let is_still = sight.armed.is_none() && sight.held.is_none() && !sight.is_busy;
+            is_fresh && is_still && sight.is_open && Some(sight.version) == version
+        })
+    }
+
+    fn next_version(&mut self) -> Version {
+        let sights = self.members.values().map(|member| &member.sight);
+        let newest = sights.flat_map(|sight| {
+            let armed = sight.armed.map(|armed| armed.version);
+            [Some(sight.version), sight.prepared, armed]
+        });
+        let newest = newest.flatten().max().unwrap_or(0);
+        newest + 1 + self.rng.random_range(0..SKIPPED)
+    }
+
+    fn advance(&mut self, now: Monotonic) -> Vec<Send> {
+        let Some(mut change) = self.change.take() else {
+            return Vec::new();
+        };
+        let is_late = now.saturating_sub(self.began) > LONGEST_PREPARATION;
+        if change.may_end() && is_late {
+            self.notes.push(Note::Void(change.version(), "not prepared in time"));
+            self.next = None;
+            return Vec::new();
+        }
+        let progress = change.advance(&self.sights(), HOLDER, AHEAD);
+        let (epoch, version) = (change.epoch(), change.version());
+        match progress {
+            Progress::Orders(orders) => {
+                self.change = Some(change);
+                let due = orders.into_iter().filter(|order| self.is_due(*order, now));
+                let due: Vec<_> = due.collect();
+                due.into_iter().map(|(rank, order)| self.give(rank, epoch, order, now)).collect()
+            }
+            Progress::Done => {
+                self.notes.push(Note::Done(version));
+                Vec::new()
+            }
+            Progress::Void => {
+                self.notes.push(Note::Void(version, "the group changed"));
+                self.next = None;
+                Vec::new()
+            }
+        }
+    }
+
+    /// Returns whether an order was not just given.
+    fn is_due(&self, (rank, order): (Rank, Order), now: Monotonic) -> bool {
+        let Some((given, at)) = self.given.get(&rank) else {
+            return true;
+        };
+        let patience = match order {
+            Order::Prepare(_) => self.copying() + PREPARE_AGAIN,
+            Order::Hold(_) | Order::Arm(_) | Order::Release(_) => AGAIN,
+        };
+        *given != order || now.saturating_sub(*at) >= patience
+    }
+
+    /// Returns the longest copying of the change under way.
+    fn copying(&self) -> Duration {
+        let (Some(next), Some(known)) = (&self.next, &self.in_force) else {
+            return Duration::ZERO;
+        };
+        let copies = next.layout.new_by_rank(&known.layout);
+        let most = copies.into_iter().max().unwrap_or(0);
+        self.shape.copy.saturating_mul(u32::try_from(most).unwrap_or(0))
+    }
+
+    fn give(&mut self, rank: Rank, epoch: Epoch, order: Order, now: Monotonic) -> Send {
+        self.given.insert(rank, (order, now));
+        let layout = match order {
+            Order::Prepare(_) => self.next.as_ref().map(|next| Arc::clone(&next.layout)),
+            Order::Hold(_) | Order::Arm(_) | Order::Release(_) => None,
+        };
+        Send {
+            rank,
+            epoch,
+            order,
+            layout,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lockstep/src/message.rs
@@ -0,0 +1,81 @@
+//! What sidecars say to each other, and to gateways.
+
+use std::net::SocketAddr;
+
+use auburnline_core::id::Expert;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::change::Order;
+use crate::layout::Layout;
+use crate::layout::Shape;
+use crate::sight::Epoch;
+use crate::sight::Sight;
+
+/// Question of a sidecar to a gateway: who serves this service?
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Service.
+    pub service: String,
+}
+
+/// Message to a sidecar.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Answer of a gateway.
+    Members(Members),
+    /// The sidecar beside rank 0 says that it leads.
+    Lead(Lead),
+    /// A sidecar shows its rank to the one that leads.
+    Show(Show),
+    /// The one that leads has an order for the receiver's rank.
+    Command(Command),
+}
+
+/// Upstreams of a service, and how its experts are placed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Members {
+    /// Service.
+    pub service: String,
+    /// Addresses of the upstreams.
+    pub upstreams: Vec<SocketAddr>,
+    /// Shape of the experts, where the service has groups.
+    pub shape: Option<Shape>,
+}
+
+/// Word of the sidecar that leads a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lead {
+    /// Group.
+    pub group: String,
+    /// Epoch.
+    pub epoch: Epoch,
+    /// Whether the layout in force is not known.
+    pub wants_layout: bool,
+}
+
+/// One rank as its sidecar sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Show {
+    /// Group.
+    pub group: String,
+    /// State of the rank.
+    pub sight: Sight,
+    /// Choices of experts since the last word, layer by layer; empty if there are none.
+    pub choices: Vec<u32>,
+    /// Experts that the rank holds by layer, if they were asked for.
+    pub held: Option<Vec<Vec<Expert>>>,
+}
+
+/// Order for a rank.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Command {
+    /// Group.
+    pub group: String,
+    /// Epoch in which the order holds.
+    pub epoch: Epoch,
+    /// Order.
+    pub order: Order,
+    /// Layout to prepare.
+    pub layout: Option<Layout>,
+}
--- /dev/null
+++ b/crates/lockstep/src/plan.rs
@@ -0,0 +1,168 @@
+//! Which map is worth a change.
+//!
+//! In each layer a pass takes as long as its most loaded rank. A plan starts from the layout in force
+//! and takes the small changes that lower that rank most, one layer after the other, until the copying
+//! of a rank would take too long or nothing more is gained. It is worth a change if the gain over the
+//! time that popularity lasts pays for the slower passes while weights are copied.
+
+use std::time::Duration;
+
+use auburnline_core::expert::Layer;
+use auburnline_core::id::Expert;
+use auburnline_rebalance::search;
+use auburnline_rebalance::search::Outlook;
+use auburnline_rebalance::search::Path;
+
+use crate::layout::Layout;
+use crate::layout::Shape;
+
+/// Longest copying on one rank: a popularity that lasts few seconds is over before a longer one pays.
+const LONGEST_COPY: Duration = Duration::from_millis(700);
+/// Most changes of one layer that are searched.
+const SEARCHED: usize = 24;
+/// Least fall of the most loaded rank, in parts of the mean, that a change of map is worth: less
+/// drowns in the difference between single passes.
+const LEAST_GAIN: f64 = 0.12;
+/// Least fall that one more change of a layer is worth.
+const LEAST_STEP: f64 = 0.004;
+
+/// A layout that is worth a change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Layout.
+    pub layout: Layout,
+    /// Most loaded rank over the mean before, mean of all layers.
+    pub skew_before: f64,
+    /// The same after.
+    pub skew_after: f64,
+    /// Most experts that one rank copies.
+    pub copies: usize,
+}
+
+/// One layer on its way from the layout in force.
+struct Draft {
+    start: Layer,
+    path: Path,
+    /// Changes taken so far.
+    taken: usize,
+    /// Mean load of a rank.
+    mean: f64,
+}
+
+impl Draft {
+    fn new(held: &[Vec<Expert>], shares: &[f64], shape: &Shape) -> Draft {
+        let start = padded(held, shares, shape.places);
+        let ranks = held.len();
+        let path = search::improve(&start, ranks, Outlook::steady(shares), SEARCHED);
+        let sum: f64 = shares.iter().sum();
+        Draft {
+            start,
+            path,
+            taken: 0,
+            mean: sum / ranks.max(1) as f64,
+        }
+    }
+
+    fn skew(&self, taken: usize) -> f64 {
+        self.path.points[taken].slowest / self.mean
+    }
+
+    /// Returns the fall for each change up to the next that pays best, and how many changes that takes.
+    fn next(&self) -> Option<(f64, usize)> {
+        let now = self.skew(self.taken);
+        let later = self.taken + 1..self.path.points.len();
+        let gains = later.map(|taken| {
+            let changes = taken - self.taken;
+            ((now - self.skew(taken)) / changes as f64, taken)
+        });
+        gains.max_by(|one, other| one.0.total_cmp(&other.0))
+    }
+
+    fn layer(&self, taken: usize, ranks: usize) -> Vec<Vec<Expert>> {
+        let layer = self.path.apply(&self.start, taken);
+        let places = layer.0.len() / ranks.max(1);
+        layer.0.chunks(places.max(1)).map(distinct).collect()
+    }
+}
+
+/// Returns the layout that is worth a change from `before` under `shares`.
+#[must_use]
+pub fn plan(before: &Layout, shares: &[Vec<f64>], shape: &Shape) -> Option<Plan> {
+    let ranks = before.0.first()?.len();
+    let mut drafts: Vec<Draft> = before
+        .0
+        .iter()
+        .zip(shares)
+        .map(|(held, shares)| Draft::new(held, shares, shape))
+        .collect();
+    let skew_before = skew(&drafts);
+    let mut layout = before.clone();
+    let mut closed = vec![false; drafts.len()];
+    while let Some((layer, taken)) = best(&drafts, &closed) {
+        let mut next = layout.clone();
+        next.0[layer] = drafts[layer].layer(taken, ranks);
+        if fits(&next, before, shape) {
+            drafts[layer].taken = taken;
+            layout = next;
+        } else {
+            closed[layer] = true;
+        }
+    }
+    let skew_after = skew(&drafts);
+    let copies = layout.new_by_rank(before).into_iter().max().unwrap_or(0);
+    let is_worth = skew_before - skew_after >= LEAST_GAIN && copies > 0;
+    is_worth.then_some(Plan {
+        layout,
+        skew_before,
+        skew_after,
+        copies,
+    })
+}
+
+fn skew(drafts: &[Draft]) -> f64 {
+    let sum: f64 = drafts.iter().map(|draft| draft.skew(draft.taken)).sum();
+    sum / drafts.len().max(1) as f64
+}
+
+/// Returns the layer whose next changes pay best, and how many changes it then has.
+fn best(drafts: &[Draft], closed: &[bool]) -> Option<(usize, usize)> {
+    let open = drafts.iter().enumerate().filter(|(layer, _)| !closed[*layer]);
+    let gains = open.filter_map(|(layer, draft)| Some((draft.next()?, layer)));
+    let ((gain, taken), layer) = gains.max_by(|one, other| one.0.0.total_cmp(&other.0.0))?;
+    (gain >= LEAST_STEP).then_some((layer, taken))
+}
+
+/// Returns whether no rank would copy more than it may, nor longer than it should.
+fn fits(next: &Layout, before: &Layout, shape: &Shape) -> bool {
+    let copies = next.new_by_rank(before).into_iter().max().unwrap_or(0);
+    let copies = u32::try_from(copies).unwrap_or(u32::MAX);
+    let is_quick = shape.copy.saturating_mul(copies) <= LONGEST_COPY;
+    let is_allowed = next.0.iter().zip(&before.0).all(|(layer, old)| {
+        layer.iter().zip(old).all(|(held, had)| {
+            let new = held.iter().filter(|expert| !had.contains(expert));
+            held.len() <= shape.places && new.count() <= shape.most_new
+        })
+    });
+    is_quick && is_allowed
+}
+
+/// Returns a layer with all places filled: an empty one repeats the rank's least chosen expert, which
+/// changes no load and is free to be replaced.
+fn padded(held: &[Vec<Expert>], shares: &[f64], places: usize) -> Layer {
+    let share = |expert: &Expert| shares.get(usize::from(*expert)).copied().unwrap_or(0.0);
+    let mut layer = Vec::with_capacity(held.len() * places);
+    for held in held {
+        let least = held.iter().min_by(|one, other| share(one).total_cmp(&share(other)));
+        let least = least.copied().unwrap_or(0);
+        layer.extend(held.iter().copied());
+        layer.extend(std::iter::repeat_n(least, places.saturating_sub(held.len())));
+    }
+    Layer(layer)
+}
+
+fn distinct(held: &[Expert]) -> Vec<Expert> {
+    let mut held = held.to_vec();
+    held.sort_unstable();
+    held.dedup();
+    held
+}
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -1,13 +1,17 @@
 //! Datagrams between gateways.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use auburnline_core::hash::stable;
 use auburnline_gateway::neighbour::Beat;
+use auburnline_gateway::neighbour::Datagram;
 use auburnline_gateway::neighbour::MAX_COUNTS;
 use auburnline_gateway::neighbour::PERIOD;
 use rand::SeedableRng as _;
+use auburnline_lockstep::message::Ask;
+use auburnline_lockstep::message::Message;
 use rand::rngs::SmallRng;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -37,7 +41,7 @@
                 tick(&shared, &socket, &mut rng).await;
             }
             received = socket.recv_from(&mut bytes) => match received {
-                Ok((length, _)) => hear(&shared, &bytes[..length]),
+                Ok((length, from)) => hear(&shared, &socket, &bytes[..length], from).await,
                 Err(error) => log::debug!(target: "neighbours", cause = error.to_string().as_str(); "no datagram"),
             }
         }
@@ -63,7 +67,7 @@
         let beat = gateway.roster.beat(counts, now, rng);
         (beat, gateway.roster.targets(now, rng))
     };
-    let Ok(bytes) = serde_json::to_vec(&beat) else {
+    let Ok(bytes) = postcard::to_stdvec(&Datagram::Beat(beat)) else {
         log::error!(target: "neighbours", "a beat can't be written");
         return;
     };
@@ -75,9 +79,10 @@
     }
 }
 
-fn hear(shared: &Shared, bytes: &[u8]) {
-    let beat: Beat = match serde_json::from_slice(bytes) {
-        Ok(beat) => beat,
+async fn hear(shared: &Shared, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
+    let beat = match postcard::from_bytes(bytes) {
+        Ok(Datagram::Beat(beat)) => beat,
+        Ok(Datagram::Ask(ask)) => return answer(shared, socket, &ask, from).await,
         Err(error) => {
             let cause = error.to_string();
             log::debug!(target: "neighbours", cause = cause.as_str(); "beat not understood");
@@ -85,6 +90,23 @@
             return;
         }
     };
+    take(shared, beat);
+}
+
+/// Answers a sidecar.
+async fn answer(shared: &Shared, socket: &UdpSocket, ask: &Ask, from: SocketAddr) {
+    let members = shared.gateway().members(ask);
+    let Ok(bytes) = postcard::to_stdvec(&Message::Members(members)) else {
+        log::error!(target: "neighbours", "an answer can't be written");
+        return;
+    };
+    if let Err(error) = socket.send_to(&bytes, from).await {
+        let cause = error.to_string();
+        log::debug!(target: "neighbours", cause = cause.as_str(); "answer not sent");
+    }
+}
+
+fn take(shared: &Shared, beat: Beat) {
     let now = shared.now();
     let mut gateway = shared.gateway();
     for news in gateway.roster.hear(&beat, now) {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -6,8 +6,8 @@
 use auburnline_core::error::Kind;
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::event::EventId;
+use auburnline_gateway::gateway;
 use auburnline_gateway::gateway::Admission;
-use auburnline_gateway::gateway::Ask;
 use auburnline_gateway::gateway::Plan;
 use auburnline_gateway::gateway::Refusal;
 use auburnline_gateway::upstream::Choice;
@@ -143,13 +143,13 @@
 }
 
 fn plan(shared: &Shared, call: &Call, path: &str, now: Monotonic) -> Result<Plan, Refusal> {
-    let ask = Ask {
+    let request = gateway::Request {
         host: &call.host,
         path,
         key: call.key.as_deref(),
         patience: call.patience,
     };
-    shared.gateway().plan(&ask, now)
+    shared.gateway().plan(&request, now)
 }
 
 /// Waits until the request may be sent.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -7,6 +7,7 @@
 
 use auburnline_duty::logging;
 use auburnline_duty::metrics;
+use auburnline_duty::scrape;
 use auburnline_gateway::Gateway;
 use auburnline_gateway::neighbour::Entry;
 use auburnline_gateway::neighbour::Roster;
@@ -120,13 +121,14 @@
     let socket = UdpSocket::bind(settings.peers).await?;
     let site = Rc::new(Site {
         shared: Rc::clone(shared),
-        metrics,
         longest: Duration::from_millis(settings.longest_answer_ms),
     });
-    for address in [settings.readiness, settings.discovery, settings.metrics] {
+    for address in [settings.readiness, settings.discovery] {
         let listener = TcpListener::bind(address).await?;
         spawn_local(site::listen(Rc::clone(&site), listener));
     }
+    let listener = TcpListener::bind(settings.metrics).await?;
+    spawn_local(scrape::serve(listener, metrics));
     spawn_local(beats::run(Rc::clone(shared), socket));
     let most = settings.descriptors / CALLERS_PART;
     Ok(spawn_local(callers::listen(
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -1,10 +1,9 @@
-//! Small questions over HTTP: is this gateway ready, which gateways to use, and its metrics.
+//! Small questions over HTTP: is this gateway ready, and which gateways to use.
 
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
-use auburnline_duty::metrics::Handle;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -31,13 +30,10 @@
 /// Time for which an answer to a caller holds: a little more than a gateway that died takes to be
 /// noticed, so that callers drop it soon.
 const ANSWER_LIFETIME: Duration = Duration::from_secs(2);
-/// Path of the metrics.
-const METRICS_PATH: &str = "/metrics";
 
 /// What the small questions are answered from.
 pub(crate) struct Site {
     pub(crate) shared: Rc<Shared>,
-    pub(crate) metrics: Handle,
     /// Longest time for which the platform lets an answer hold.
     pub(crate) longest: Duration,
 }
@@ -79,10 +75,6 @@
             let is_ready = self.shared.gateway().roster.is_ready();
             return text(ready_status(is_ready), "text/plain", Bytes::new());
         }
-        if uri.path() == METRICS_PATH {
-            let metrics = self.metrics.render();
-            return text(StatusCode::OK, "text/plain", metrics.into());
-        }
         match dialect.question(uri) {
             Some(question) => self.offer(question.failure_domain.as_deref()),
             None => text(StatusCode::NOT_FOUND, "text/plain", Bytes::new()),
--- /dev/null
+++ b/crates/sidecar/src/lead.rs
@@ -0,0 +1,102 @@
+//! The part of a sidecar that leads its group.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use auburnline_core::id::Rank;
+use auburnline_core::time::Monotonic;
+use auburnline_lockstep::Coordinator;
+use auburnline_lockstep::coordinator::Note;
+use auburnline_lockstep::coordinator::Send;
+use auburnline_lockstep::layout::Shape;
+use auburnline_lockstep::message::Show;
+
+/// Time between two questions who serves the service.
+pub(crate) const ASK_PERIOD: Duration = Duration::from_secs(2);
+
+/// State of the sidecar that leads.
+pub(crate) struct Lead {
+    group: String,
+    coordinator: Coordinator,
+    /// Where each rank's sidecar was heard from.
+    addresses: BTreeMap<Rank, SocketAddr>,
+}
+
+impl Lead {
+    /// Returns the lead of a group.
+    pub(crate) fn new(group: String, shape: Shape, is_first: bool, now: Monotonic) -> Lead {
+        let seed = rand::random();
+        Lead {
+            group,
+            coordinator: Coordinator::new(shape, is_first, seed, now),
+            addresses: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the name of the group.
+    pub(crate) fn group(&self) -> &str {
+        &self.group
+    }
+
+    /// Returns whether the ranks must tell what they hold.
+    pub(crate) fn wants_layout(&self) -> bool {
+        self.coordinator.wants_layout()
+    }
+
+    /// Returns where a rank's sidecar was heard from.
+    pub(crate) fn address(&self, rank: Rank) -> Option<SocketAddr> {
+        self.addresses.get(&rank).copied()
+    }
+
+    /// Takes the state of a rank.
+    pub(crate) fn see(&mut self, show: Show, from: Option<SocketAddr>, now: Monotonic) {
+        if show.group != self.group {
+            return;
+        }
+        if let Some(from) = from {
+            self.addresses.insert(show.sight.rank, from);
+        }
+        self.coordinator
+            .see(show.sight, &show.choices, show.held, now);
+    }
+
+    /// Says what to order now.
+    pub(crate) fn tick(&mut self, now: Monotonic) -> Vec<Send> {
+        let sends = self.coordinator.tick(now);
+        for note in self.coordinator.notes() {
+            log_note(&self.group, &note);
+        }
+        sends
+    }
+}
+
+fn log_note(group: &str, note: &Note) {
+    match note {
+        Note::Begun(version, plan) => log::info!(
+            target: "experts",
+            group,
+            version,
+            skew_before = plan.skew_before,
+            skew_after = plan.skew_after,
+            copies = plan.copies;
+            "change begun"
+        ),
+        Note::Found(version, phase) => {
+            log::info!(target: "experts", group, version, phase:?; "change found");
+        }
+        Note::Done(version) => log::info!(target: "experts", group, version; "change done"),
+        Note::Void(version, reason) => {
+            log::info!(target: "experts", group, version, reason; "change void");
+        }
+        Note::Formed(epoch) => log::info!(target: "experts", group, epoch; "group formed"),
+    }
+    let outcome = match note {
+        Note::Begun(..) => "begun",
+        Note::Found(..) => "found",
+        Note::Done(_) => "done",
+        Note::Void(..) => "void",
+        Note::Formed(_) => "formed",
+    };
+    metrics::counter!("auburnline_map_changes_total", "outcome" => outcome).increment(1);
+}
--- /dev/null
+++ b/crates/sidecar/src/settings.rs
@@ -0,0 +1,51 @@
+//! Settings of a sidecar.
+
+use std::net::SocketAddr;
+
+use auburnline_settings::Error;
+use auburnline_settings::Fault;
+use auburnline_settings::Reason;
+use serde::Deserialize;
+
+/// Settings of a sidecar, read from JSON.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Settings {
+    /// Name of the instance.
+    pub instance: String,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Address towards other sidecars and gateways; its port is the same at all sidecars.
+    pub peers: SocketAddr,
+    /// Address at which metrics are read.
+    pub metrics: SocketAddr,
+    /// Addresses of a few gateways.
+    pub gateways: Vec<SocketAddr>,
+    /// Address of the engine.
+    pub engine: SocketAddr,
+    /// Service that the engine belongs to.
+    pub service: String,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
+}
+
+impl auburnline_settings::Settings for Settings {
+    fn check(&self) -> Result<(), Error> {
+        let texts = [
+            ("instance", &self.instance),
+            ("failure_domain", &self.failure_domain),
+            ("service", &self.service),
+        ];
+        let empty = texts.into_iter().filter(|(_, text)| text.is_empty());
+        let faults: Vec<Fault> = empty
+            .map(|(path, _)| Fault {
+                path: path.to_owned(),
+                reason: Reason::Malformed("is empty".to_owned()),
+            })
+            .collect();
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(Error(faults))
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/sidecar.rs
@@ -0,0 +1,349 @@
+//! One sidecar: reads its rank, and leads or follows.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use auburnline_core::time::Monotonic;
+use auburnline_duty::clock::Clock;
+use auburnline_gateway::neighbour::Datagram;
+use auburnline_lockstep::change::Order;
+use auburnline_lockstep::coordinator::HOLDER;
+use auburnline_lockstep::coordinator::Send;
+use auburnline_lockstep::layout::Layout;
+use auburnline_lockstep::message::Ask;
+use auburnline_lockstep::message::Command;
+use auburnline_lockstep::message::Lead as LeadWord;
+use auburnline_lockstep::message::Members;
+use auburnline_lockstep::message::Message;
+use auburnline_lockstep::message::Show;
+use auburnline_lockstep::sight::Epoch;
+use serde::Serialize;
+use tokio::net::UdpSocket;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+
+use crate::engine::Counts;
+use crate::engine::Engine;
+use crate::engine::Report;
+use crate::lead::ASK_PERIOD;
+use crate::lead::Lead;
+use crate::settings::Settings;
+
+/// Time between two looks at the rank: a change of demand is seen within a few of them, and each
+/// costs under a millisecond of the instance's processor.
+const PERIOD: Duration = Duration::from_millis(250);
+/// Time between two looks while an order awaits its effect.
+const QUICK_PERIOD: Duration = Duration::from_millis(40);
+/// Time for which looks stay quick after an order.
+const QUICK: Duration = Duration::from_millis(200);
+/// Age at which the word of the one that leads is forgotten.
+const LEAD_AGE: Duration = Duration::from_secs(3);
+/// Largest datagram.
+const MAX_BYTES: usize = 60 << 10;
+
+/// State of one sidecar.
+pub(crate) struct Sidecar<E> {
+    settings: Settings,
+    engine: E,
+    socket: UdpSocket,
+    clock: Clock,
+    lead: Option<Lead>,
+    members: Option<Members>,
+    asked: Option<Monotonic>,
+    /// Who leads, when that was heard, and whether the layout is asked for.
+    leader: Option<(SocketAddr, Monotonic, bool)>,
+    counts: Counts,
+    counted: Option<Monotonic>,
+    /// Until when looks are quick.
+    quick_until: Monotonic,
+    is_reachable: bool,
+    epoch: Option<Epoch>,
+}
+
+impl<E: Engine> Sidecar<E> {
+    pub(crate) fn new(settings: Settings, engine: E, socket: UdpSocket) -> Sidecar<E> {
+        Sidecar {
+            settings,
+            engine,
+            socket,
+            clock: Clock::start(),
+            lead: None,
+            members: None,
+            asked: None,
+            leader: None,
+            counts: Counts::default(),
+            counted: None,
+            quick_until: Monotonic::ZERO,
+            is_reachable: true,
+            epoch: None,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub(crate) async fn run(mut self) {
+        let mut ticks = interval(QUICK_PERIOD);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut bytes = vec![0; MAX_BYTES];
+        let mut looked = Monotonic::ZERO;
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {
+                    let now = self.clock.now();
+                    let is_quick = now < self.quick_until;
+                    if is_quick || now.saturating_sub(looked) >= PERIOD {
+                        looked = now;
+                        self.look().await;
+                    }
+                }
+                received = self.socket.recv_from(&mut bytes) => match received {
+                    Ok((length, from)) => self.hear(&bytes[..length], from).await,
+                    Err(error) => {
+                        let cause = error.to_string();
+                        log::debug!(target: "sidecar", cause = cause.as_str(); "no datagram");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Looks at the rank, and leads or shows it.
+    async fn look(&mut self) {
+        let report = match self.engine.report().await {
+            Ok(report) => report,
+            Err(failure) => return self.lost(&failure.to_string()),
+        };
+        if !self.is_reachable {
+            self.is_reachable = true;
+            log::info!(target: "engine", epoch = report.sight.epoch; "regained");
+        }
+        self.note_epoch(&report);
+        let choices = self.choices().await;
+        let held = self.held().await;
+        let show = Show {
+            group: report.group,
+            sight: report.sight,
+            choices,
+            held,
+        };
+        if show.sight.rank == HOLDER {
+            self.lead(show).await;
+        } else {
+            self.lead = None;
+            self.show(show).await;
+        }
+    }
+
+    fn lost(&mut self, cause: &str) {
+        if self.is_reachable {
+            self.is_reachable = false;
+            log::warn!(target: "engine", cause; "lost");
+        }
+    }
+
+    fn note_epoch(&mut self, report: &Report) {
+        let sight = &report.sight;
+        if self.epoch != Some(sight.epoch) {
+            self.epoch = Some(sight.epoch);
+            let group = report.group.as_str();
+            log::info!(target: "engine", group, epoch = sight.epoch, rank = sight.rank, is_open = sight.is_open; "epoch");
+        }
+    }
+
+    /// Returns the choices since the last look, at the slow pace.
+    async fn choices(&mut self) -> Vec<u32> {
+        let now = self.clock.now();
+        let is_due = self.counted.is_none_or(|at| now.saturating_sub(at) >= PERIOD);
+        if !is_due {
+            return Vec::new();
+        }
+        let counts = match self.engine.counts().await {
+            Ok(counts) => counts,
+            Err(failure) => {
+                let cause = failure.to_string();
+                log::debug!(target: "engine", cause = cause.as_str(); "no counts");
+                return Vec::new();
+            }
+        };
+        self.counted = Some(now);
+        let before = std::mem::replace(&mut self.counts, counts);
+        difference(&before, &self.counts)
+    }
+
+    /// Returns the experts that the rank holds, if they were asked for.
+    async fn held(&self) -> Option<Vec<Vec<u16>>> {
+        let is_asked = match &self.lead {
+            Some(lead) => lead.wants_layout(),
+            None => self.leader.is_some_and(|(_, _, wants_layout)| wants_layout),
+        };
+        if !is_asked {
+            return None;
+        }
+        let held = self.engine.held().await;
+        held.inspect_err(|failure| {
+            let cause = failure.to_string();
+            log::debug!(target: "engine", cause = cause.as_str(); "no experts");
+        })
+        .ok()
+    }
+
+    async fn show(&mut self, show: Show) {
+        let now = self.clock.now();
+        let leader = self.leader;
+        let Some((leader, _, _)) = leader.filter(|(_, at, _)| now.saturating_sub(*at) < LEAD_AGE)
+        else {
+            return;
+        };
+        self.tell(&Message::Show(show), leader).await;
+    }
+
+    async fn lead(&mut self, show: Show) {
+        let now = self.clock.now();
+        self.ask(now).await;
+        let shape = self.members.as_ref().and_then(|members| members.shape);
+        let Some(shape) = shape else {
+            return;
+        };
+        let is_first = self.settings.is_first_start;
+        let lead = self
+            .lead
+            .get_or_insert_with(|| Lead::new(show.group.clone(), shape, is_first, now));
+        let word = LeadWord {
+            group: show.group.clone(),
+            epoch: show.sight.epoch,
+            wants_layout: lead.wants_layout(),
+        };
+        lead.see(show, None, now);
+        self.announce(&word).await;
+        self.step().await;
+    }
+
+    /// Asks a gateway who serves the service.
+    async fn ask(&mut self, now: Monotonic) {
+        let is_due = self.asked.is_none_or(|at| now.saturating_sub(at) >= ASK_PERIOD);
+        if !is_due {
+            return;
+        }
+        self.asked = Some(now);
+        let ask = Datagram::Ask(Ask {
+            service: self.settings.service.clone(),
+        });
+        for gateway in self.settings.gateways.clone() {
+            self.tell(&ask, gateway).await;
+        }
+    }
+
+    /// Tells the other sidecars who leads.
+    async fn announce(&self, word: &LeadWord) {
+        let Some(members) = &self.members else {
+            return;
+        };
+        let port = self.settings.peers.port();
+        let message = Message::Lead(word.clone());
+        for upstream in &members.upstreams {
+            let address = SocketAddr::new(upstream.ip(), port);
+            if address != self.settings.peers {
+                self.tell(&message, address).await;
+            }
+        }
+    }
+
+    /// Gives the orders that are due.
+    async fn step(&mut self) {
+        let now = self.clock.now();
+        let sends = self.lead.as_mut().map(|lead| lead.tick(now));
+        for send in sends.unwrap_or_default() {
+            self.quick_until = now + QUICK;
+            if send.rank == HOLDER {
+                let layout = send.layout.as_deref();
+                self.order(send.epoch, send.order, layout).await;
+            } else {
+                self.pass_on(send).await;
+            }
+        }
+    }
+
+    async fn pass_on(&self, send: Send) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let Some(address) = lead.address(send.rank) else {
+            return;
+        };
+        let command = Command {
+            group: lead.group().to_owned(),
+            epoch: send.epoch,
+            order: send.order,
+            layout: send.layout.map(|layout| (*layout).clone()),
+        };
+        self.tell(&Message::Command(command), address).await;
+    }
+
+    /// Gives an order to the own rank.
+    async fn order(&mut self, epoch: Epoch, order: Order, layout: Option<&Layout>) {
+        let reply = self.engine.order(epoch, order, layout).await;
+        log::info!(target: "engine", epoch, order:?, reply:?; "order");
+        let outcome = if reply.is_ok() { "answered" } else { "unanswered" };
+        metrics::counter!("auburnline_orders_total", "outcome" => outcome).increment(1);
+    }
+
+    async fn hear(&mut self, bytes: &[u8], from: SocketAddr) {
+        let message: Message = match postcard::from_bytes(bytes) {
+            Ok(message) => message,
+            Err(error) => {
+                let cause = error.to_string();
+                log::debug!(target: "sidecar", cause = cause.as_str(); "message not understood");
+                metrics::counter!("auburnline_messages_malformed_total").increment(1);
+                return;
+            }
+        };
+        let now = self.clock.now();
+        match message {
+            Message::Members(members) => {
+                if members.service == self.settings.service {
+                    self.members = Some(members);
+                }
+            }
+            Message::Lead(word) => self.leader = Some((from, now, word.wants_layout)),
+            Message::Show(show) => {
+                if let Some(lead) = &mut self.lead {
+                    lead.see(show, Some(from), now);
+                    self.step().await;
+                }
+            }
+            Message::Command(command) => self.follow(command).await,
+        }
+    }
+
+    /// Passes an order of the one that leads on, and shows what came of it.
+    async fn follow(&mut self, command: Command) {
+        if self.epoch != Some(command.epoch) {
+            return;
+        }
+        self.order(command.epoch, command.order, command.layout.as_ref())
+            .await;
+        self.quick_until = self.clock.now() + QUICK;
+        self.look().await;
+    }
+
+    async fn tell(&self, message: &impl Serialize, to: SocketAddr) {
+        let Ok(bytes) = postcard::to_stdvec(message) else {
+            log::error!(target: "sidecar", "a message can't be written");
+            return;
+        };
+        if let Err(error) = self.socket.send_to(&bytes, to).await {
+            let cause = error.to_string();
+            log::debug!(target: "sidecar", cause = cause.as_str(); "message not sent");
+        }
+    }
+}
+
+/// Returns the choices between two counts; all of the later one if the rank started anew.
+fn difference(before: &Counts, after: &Counts) -> Vec<u32> {
+    let is_same = before.0.len() == after.0.len();
+    let is_grown = is_same && before.0.iter().zip(&after.0).all(|(old, new)| new >= old);
+    let differences = after.0.iter().enumerate().map(|(index, new)| {
+        let old = if is_grown { before.0[index] } else { 0 };
+        u32::try_from(new - old).unwrap_or(u32::MAX)
+    });
+    differences.collect()
+}
