--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -1,6 +1,8 @@
 //! A sidecar from its start to its end.
 
 use std::io;
+use std::path::Path;
+use std::path::PathBuf;
 
 use auburnline_duty::logging;
 use auburnline_duty::metrics;
@@ -22,20 +24,21 @@
 /// # Errors
 ///
 /// Returns the system's error if an address can't be had, or the logs or metrics can't start.
-pub fn run<E: Engine + 'static>(settings: Settings, engine: E) -> io::Result<()> {
+pub fn run<E: Engine + 'static>(settings: Settings, path: &Path, engine: E) -> io::Result<()> {
     logging::start_on(DECISIONS, io::stdout())?;
     let metrics = metrics::install()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let local = LocalSet::new();
-    let outcome = local.block_on(&runtime, main(settings, engine, metrics));
+    let outcome = local.block_on(&runtime, main(settings, path, engine, metrics));
     log::logger().flush();
     outcome
 }
 
 async fn main<E: Engine + 'static>(
     settings: Settings,
+    path: &Path,
     engine: E,
     metrics: metrics::Handle,
 ) -> io::Result<()> {
@@ -50,14 +53,34 @@
     let socket = UdpSocket::bind(settings.peers).await?;
     let listener = TcpListener::bind(settings.metrics).await?;
     let serving = auburnline_duty::scrape::serve(listener, metrics);
+    let reloading = reload(path.to_owned());
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         () = Sidecar::new(settings, engine, socket).run() => {}
         () = serving => {}
+        () = reloading => {}
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
     log::info!(target: "process", reason = "signal"; "stop");
     Ok(())
 }
+
+/// Reads the settings anew when told; what they say holds from the next start on, since none of a
+/// sidecar's settings can change while its engine stays.
+async fn reload(path: PathBuf) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        log::error!(target: "process", "the signal to read the settings can't be waited for");
+        return std::future::pending().await;
+    };
+    while hangup.recv().await.is_some() {
+        match auburnline_settings::read::<Settings>(&path) {
+            Ok(settings) => log::info!(target: "process", settings:?; "reload"),
+            Err(error) => {
+                let cause = error.to_string();
+                log::error!(target: "process", cause = cause.as_str(); "settings refused");
+            }
+        }
+    }
+}
