--- a/crates/lockstep/src/coordinator.rs
+++ b/crates/lockstep/src/coordinator.rs
@@ -71,6 +71,23 @@
     Formed(Epoch),
 }
 
+/// How a group runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pulse {
+    /// Newest pass.
+    pub step: Step,
+    /// Requests that run on all ranks.
+    pub running: u32,
+    /// Requests that wait on all ranks.
+    pub waiting: u32,
+    /// Most requests that run on one rank.
+    pub most_running: u32,
+    /// Most loaded rank over the mean under the popularity of now; none if it is not known.
+    pub skew: Option<f64>,
+    /// Map in force; none if ranks differ or it is not known.
+    pub version: Option<Version>,
+}
+
 #[derive(Clone, Debug)]
 struct Member {
     sight: Sight,
@@ -129,6 +146,23 @@
         self.epoch.is_some() && self.in_force.is_none()
     }
 
+    /// Returns how the group runs.
+    #[must_use]
+    pub fn pulse(&self) -> Pulse {
+        let sights = || self.members.values().map(|member| &member.sight);
+        let shares = self.popularity.shares();
+        let known = self.in_force.as_ref();
+        let skew = known.zip(shares).map(|(known, shares)| known.layout.skew(&shares));
+        Pulse {
+            step: sights().map(|sight| sight.step).max().unwrap_or(0),
+            running: sights().map(|sight| sight.running).sum(),
+            waiting: sights().map(|sight| sight.waiting).sum(),
+            most_running: sights().map(|sight| sight.running).max().unwrap_or(0),
+            skew,
+            version: known.map(|known| known.version),
+        }
+    }
+
     /// Returns what there is to tell since the last call.
     pub fn notes(&mut self) -> Vec<Note> {
         std::mem::take(&mut self.notes)
--- a/crates/lockstep/src/layout.rs
+++ b/crates/lockstep/src/layout.rs
@@ -38,6 +38,13 @@
         Layout(vec![layer; shape.layers])
     }
 
+    /// Returns the most loaded rank over the mean under `shares` by layer, mean of all layers.
+    #[must_use]
+    pub fn skew(&self, shares: &[Vec<f64>]) -> f64 {
+        let skews = self.0.iter().zip(shares).map(|(layer, shares)| layer_skew(layer, shares));
+        skews.sum::<f64>() / self.0.len().max(1) as f64
+    }
+
     /// Returns how many experts each rank gets that it does not hold in `before`, over all layers.
     #[must_use]
     pub fn new_by_rank(&self, before: &Layout) -> Vec<usize> {
@@ -51,3 +58,18 @@
         counts
     }
 }
+
+fn layer_skew(layer: &[Vec<Expert>], shares: &[f64]) -> f64 {
+    let mut copies = vec![0_u32; shares.len()];
+    for expert in layer.iter().flatten() {
+        copies[usize::from(*expert)] += 1;
+    }
+    let part = |expert: &Expert| {
+        let expert = usize::from(*expert);
+        shares[expert] / f64::from(copies[expert])
+    };
+    let loads = layer.iter().map(|held| held.iter().map(part).sum::<f64>());
+    let slowest = loads.fold(0.0, f64::max);
+    let sum: f64 = shares.iter().sum();
+    slowest * layer.len() as f64 / sum.max(f64::EPSILON)
+}
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use auburnline_core::id::Rank;
+use auburnline_core::id::Step;
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::Coordinator;
 use auburnline_lockstep::coordinator::Note;
@@ -15,12 +16,17 @@
 /// Time between two questions who serves the service.
 pub(crate) const ASK_PERIOD: Duration = Duration::from_secs(2);
 
+/// Time between two lines that tell how the group runs.
+const PULSE_PERIOD: Duration = Duration::from_secs(1);
+
 /// State of the sidecar that leads.
 pub(crate) struct Lead {
     group: String,
     coordinator: Coordinator,
     /// Where each rank's sidecar was heard from.
     addresses: BTreeMap<Rank, SocketAddr>,
+    told_at: Monotonic,
+    told_step: Step,
 }
 
 impl Lead {
@@ -30,6 +36,8 @@
             group,
             coordinator: Coordinator::new(shape, started, now),
             addresses: BTreeMap::new(),
+            told_at: now,
+            told_step: 0,
         }
     }
 
@@ -60,6 +68,34 @@
             .see(show.sight, &show.choices, show.held, now);
     }
 
+    /// Tells how the group runs, once a while.
+    pub(crate) fn tell_pulse(&mut self, now: Monotonic) {
+        let passed = now.saturating_sub(self.told_at);
+        if passed < PULSE_PERIOD {
+            return;
+        }
+        let pulse = self.coordinator.pulse();
+        let passes = pulse.step.saturating_sub(self.told_step);
+        let pass = passed.checked_div(u32::try_from(passes).unwrap_or(0));
+        self.told_at = now;
+        self.told_step = pulse.step;
+        log::info!(
+            target: "experts",
+            group = self.group.as_str(),
+            pass_ms:? = pass.map(|pass| pass.as_secs_f64() * 1_000.0),
+            running = pulse.running,
+            waiting = pulse.waiting,
+            most_running = pulse.most_running,
+            skew:? = pulse.skew,
+            version:? = pulse.version;
+            "pulse"
+        );
+        if let Some(skew) = pulse.skew {
+            metrics::gauge!("auburnline_group_skew").set(skew);
+        }
+        metrics::gauge!("auburnline_group_running").set(f64::from(pulse.running));
+    }
+
     /// Says what to order now.
     pub(crate) fn tick(&mut self, now: Monotonic) -> Vec<Send> {
         let sends = self.coordinator.tick(now);
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -218,6 +218,7 @@
             wants_layout: lead.wants_layout(),
         };
         lead.see(show, None, now);
+        lead.tell_pulse(now);
         self.announce(&word).await;
         self.step().await;
     }
