--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -64,6 +64,8 @@
     /// Until when looks are quick.
     quick_until: Monotonic,
     is_reachable: bool,
+    /// Group and epoch that the rank showed last.
+    group: Option<String>,
     epoch: Option<Epoch>,
 }
 
@@ -86,6 +88,7 @@
             looked: Monotonic::ZERO,
             quick_until: Monotonic::ZERO,
             is_reachable: true,
+            group: None,
             epoch: None,
         }
     }
@@ -158,6 +161,7 @@
         let sight = &report.sight;
         if self.epoch != Some(sight.epoch) {
             self.epoch = Some(sight.epoch);
+            self.group = Some(report.group.clone());
             let group = report.group.as_str();
             log::info!(target: "engine", group, epoch = sight.epoch, rank = sight.rank, is_open = sight.is_open; "epoch");
         }
@@ -326,7 +330,11 @@
                     self.members = Some(members);
                 }
             }
-            Message::Lead(word) => self.leader = Some((from, now, word.wants_layout)),
+            Message::Lead(word) => {
+                if self.group.as_ref() == Some(&word.group) {
+                    self.leader = Some((from, now, word.wants_layout));
+                }
+            }
             Message::Show(show) => {
                 if let Some(lead) = &mut self.lead {
                     lead.see(show, Some(from), now);
@@ -339,7 +347,8 @@
 
     /// Passes an order of the one that leads on, and shows what came of it.
     async fn follow(&mut self, command: Command) {
-        if self.epoch != Some(command.epoch) {
+        let is_ours = self.group.as_ref() == Some(&command.group);
+        if !is_ours || self.epoch != Some(command.epoch) {
             return;
         }
         self.order(command.epoch, command.order, command.layout.as_ref())
