--- a/crates/lockstep/src/change.rs
+++ b/crates/lockstep/src/change.rs
@@ -142,6 +142,9 @@
         let Some(held) = sights.iter().find(|sight| sight.rank == holder) else {
             return Progress::Void;
         };
+        if let Some(step) = self.stray(held) {
+            return orders(&[holder], Order::Release(step));
+        }
         let newest = sights.iter().map(|sight| sight.step).max().unwrap_or(0);
         if self.phase == Phase::Preparing {
             let waiting: Vec<_> = self.unprepared(sights).collect();
@@ -186,6 +189,19 @@
         }
     }
 
+    /// Returns a held pass that this change did not order.
+    ///
+    /// It is a late order of a coordinator that ended before it saw the hold, so no rank was told to
+    /// switch there; left alone it would stop the group for good.
+    fn stray(&self, holder: &Sight) -> Option<Step> {
+        let is_stray = |step: &Step| match self.phase {
+            Phase::Preparing => true,
+            Phase::Holding(own) => *step != own,
+            Phase::Arming(_) | Phase::Releasing(_) => false,
+        };
+        holder.held.filter(is_stray)
+    }
+
     fn unprepared(&self, sights: &[&Sight]) -> impl Iterator<Item = Rank> {
         let version = Some(self.version);
         let waiting = sights.iter().filter(move |sight| sight.prepared != version);
@@ -193,6 +209,16 @@
     }
 }
 
+/// Returns a held pass with which no change can go on, where none is under way.
+#[must_use]
+pub fn stray(sights: &[&Sight], holder: Rank) -> Option<Step> {
+    let is_armed = sights.iter().any(|sight| sight.armed.is_some());
+    if is_armed || Change::found(sights, holder).is_some() {
+        return None;
+    }
+    sights.iter().find(|sight| sight.rank == holder)?.held
+}
+
 fn unarmed(sights: &[&Sight], switch: Switch) -> impl Iterator<Item = Rank> {
     let waiting = sights.iter().filter(move |sight| {
         let is_armed = sight.armed == Some(switch);
--- a/crates/lockstep/src/coordinator.rs
+++ b/crates/lockstep/src/coordinator.rs
@@ -18,6 +18,7 @@
 use crate::change::Order;
 use crate::change::Phase;
 use crate::change::Progress;
+use crate::change::stray;
 use crate::layout::Layout;
 use crate::layout::Shape;
 use crate::plan::Plan;
@@ -226,6 +227,9 @@
             self.take_over(now);
         }
         if self.change.is_none() {
+            if let Some(step) = stray(&self.sights(), HOLDER) {
+                return self.release_stray(step, now);
+            }
             self.begin(now);
         }
         self.advance(now)
@@ -294,6 +298,13 @@
         self.began = now;
     }
 
+    fn release_stray(&mut self, step: Step, now: Monotonic) -> Vec<Send> {
+        let order = (HOLDER, Order::Release(step));
+        let epoch = self.epoch.filter(|_| self.is_due(order, now));
+        let send = epoch.map(|epoch| self.give(HOLDER, epoch, order.1, now));
+        send.into_iter().collect()
+    }
+
     /// Begins a change if one is worth it.
     fn begin(&mut self, now: Monotonic) {
         let is_due = now.saturating_sub(self.planned_at) >= PLAN_PERIOD;
--- /dev/null
+++ b/crates/lockstep/tests/all/change.rs
@@ -0,0 +1,103 @@
+//! One change, step by step.
+
+use auburnline_lockstep::change::Change;
+use auburnline_lockstep::change::Order;
+use auburnline_lockstep::change::Phase;
+use auburnline_lockstep::change::Progress;
+use auburnline_lockstep::sight::Sight;
+use auburnline_lockstep::sight::Switch;
+use googletest::prelude::*;
+
+use crate::support::Engine;
+
+const SWITCH: Switch = Switch {
+    version: 7,
+    step: 12,
+};
+
+fn sights(engines: &[Engine]) -> Vec<Sight> {
+    let size = u16::try_from(engines.len()).expect("few ranks");
+    let ranks = engines.iter().zip(0..);
+    ranks
+        .map(|(engine, rank)| engine.sight(rank, size, 10))
+        .collect()
+}
+
+fn prepared() -> Engine {
+    Engine {
+        prepared: Some(7),
+        highest: 7,
+        ..Engine::default()
+    }
+}
+
+fn advance(change: &mut Change, engines: &[Engine]) -> Progress {
+    let sights = sights(engines);
+    change.advance(&sights.iter().collect::<Vec<_>>(), 0, 2)
+}
+
+#[gtest]
+fn only_ranks_without_the_weights_are_told_to_prepare() {
+    let mut change = Change::new(1, 7);
+    let progress = advance(&mut change, &[prepared(), Engine::default()]);
+    assert_that!(
+        progress,
+        eq(&Progress::Orders(vec![(1, Order::Prepare(7))]))
+    );
+}
+
+#[gtest]
+fn no_rank_is_armed_before_the_hold_was_seen() {
+    let mut change = Change::new(1, 7);
+    let progress = advance(&mut change, &[prepared(), prepared()]);
+    assert_that!(progress, eq(&Progress::Orders(vec![(0, Order::Hold(12))])));
+    let progress = advance(&mut change, &[prepared(), prepared()]);
+    assert_that!(progress, eq(&Progress::Orders(vec![(0, Order::Hold(12))])));
+}
+
+#[gtest]
+fn the_hold_stands_until_all_are_armed() {
+    let mut change = Change::new(1, 7);
+    let mut holder = prepared();
+    let _ = advance(&mut change, &[holder.clone(), prepared()]);
+    holder.held = Some(12);
+    holder.armed = Some(SWITCH);
+    let progress = advance(&mut change, &[holder.clone(), prepared()]);
+    assert_that!(
+        progress,
+        eq(&Progress::Orders(vec![(1, Order::Arm(SWITCH))]))
+    );
+    let mut other = prepared();
+    other.armed = Some(SWITCH);
+    let progress = advance(&mut change, &[holder, other]);
+    assert_that!(
+        progress,
+        eq(&Progress::Orders(vec![(0, Order::Release(12))]))
+    );
+}
+
+#[gtest]
+fn a_new_epoch_voids_a_change() {
+    let mut change = Change::new(1, 7);
+    let mut sights = sights(&[prepared(), prepared()]);
+    sights[1].epoch = 2;
+    let progress = change.advance(&sights.iter().collect::<Vec<_>>(), 0, 2);
+    assert_that!(progress, eq(&Progress::Void));
+}
+
+#[gtest]
+fn a_hold_found_after_a_start_is_taken_forward() {
+    let mut holder = prepared();
+    holder.held = Some(12);
+    let sights = sights(&[holder, prepared()]);
+    let found = Change::found(&sights.iter().collect::<Vec<_>>(), 0);
+    let found = found.expect("a change under way");
+    assert_that!(found.phase(), eq(Phase::Arming(12)));
+    assert_that!(found.version(), eq(7));
+}
+
+#[gtest]
+fn nothing_is_found_where_nothing_is_under_way() {
+    let sights = sights(&[prepared(), prepared()]);
+    assert_that!(Change::found(&sights.iter().collect::<Vec<_>>(), 0), none());
+}
--- /dev/null
+++ b/crates/lockstep/tests/all/coordinator.rs
@@ -0,0 +1,147 @@
+//! The coordinator over whole changes.
+
+use std::time::Duration;
+
+use auburnline_core::id::Rank;
+use auburnline_lockstep::Coordinator;
+use auburnline_lockstep::change::Order;
+use auburnline_lockstep::coordinator::Note;
+use auburnline_lockstep::coordinator::Send;
+use auburnline_lockstep::layout::Shape;
+use googletest::prelude::*;
+
+use crate::support::Engine;
+
+const SHAPE: Shape = Shape {
+    layers: 1,
+    experts: 8,
+    places: 6,
+    most_new: 2,
+    copy: Duration::from_millis(10),
+};
+/// Time of day at the coordinators' start.
+const STARTED: Duration = Duration::from_secs(1_000);
+
+struct World {
+    now: Duration,
+    step: u64,
+    engines: Vec<Engine>,
+    coordinator: Coordinator,
+    notes: Vec<Note>,
+    /// Rank whose orders get lost.
+    deaf: Option<Rank>,
+}
+
+impl World {
+    fn new() -> World {
+        World {
+            now: Duration::ZERO,
+            step: 0,
+            engines: vec![Engine::default(); 2],
+            coordinator: Coordinator::new(SHAPE, STARTED, Duration::ZERO),
+            notes: Vec::new(),
+            deaf: None,
+        }
+    }
+
+    fn turn(&mut self) -> Vec<Send> {
+        self.now += Duration::from_millis(200);
+        let mut choices = [100; 8];
+        choices[2] = 5_000;
+        for (rank, engine) in (0..).zip(&self.engines) {
+            let sight = engine.sight(rank, 2, self.step);
+            self.coordinator.see(sight, &choices, None, self.now);
+        }
+        let sends = self.coordinator.tick(self.now);
+        for send in &sends {
+            if Some(send.rank) != self.deaf {
+                self.engines[usize::from(send.rank)].order(send.order, self.step);
+            }
+        }
+        self.notes.extend(self.coordinator.notes());
+        if !self
+            .engines
+            .iter()
+            .any(|engine| engine.held == Some(self.step + 1))
+        {
+            self.step += 1;
+            let step = self.step;
+            self.engines
+                .iter_mut()
+                .for_each(|engine| engine.enter(step));
+        }
+        sends
+    }
+}
+
+fn is_done(note: &Note) -> bool {
+    matches!(note, Note::Done(_))
+}
+
+#[gtest]
+fn a_hot_expert_leads_to_one_change_that_all_ranks_make_together() {
+    let mut world = World::new();
+    for _ in 0..40 {
+        world.turn();
+        let versions: Vec<_> = world.engines.iter().map(|engine| engine.version).collect();
+        assert_that!(versions[0], eq(versions[1]));
+    }
+    assert_that!(world.engines[0].version, gt(0));
+    assert_that!(
+        world.notes.iter().filter(|note| is_done(note)).count(),
+        eq(1)
+    );
+}
+
+#[gtest]
+fn a_rank_that_hears_nothing_is_never_left_behind() {
+    let mut world = World::new();
+    world.deaf = Some(1);
+    for _ in 0..60 {
+        let sends = world.turn();
+        let is_armed = sends.iter().any(|send| matches!(send.order, Order::Arm(_)));
+        assert_that!(is_armed, eq(false));
+    }
+    assert_that!(world.engines[0].version, eq(0));
+    let voids = world
+        .notes
+        .iter()
+        .filter(|note| matches!(note, Note::Void(..)));
+    assert_that!(voids.count(), gt(0));
+}
+
+#[gtest]
+fn a_successor_picks_a_higher_version_than_any_that_was_ordered() {
+    let mut world = World::new();
+    world.deaf = Some(1);
+    let versions = |sends: Vec<Send>| {
+        let versions = sends.into_iter().filter_map(|send| match send.order {
+            Order::Prepare(version) => Some(version),
+            Order::Hold(_) | Order::Arm(_) | Order::Release(_) => None,
+        });
+        versions.collect::<Vec<_>>()
+    };
+    let ordered: Vec<_> = (0..20).flat_map(|_| versions(world.turn())).collect();
+    let highest = ordered.into_iter().max().expect("an order to prepare");
+    // The successor has seen none of it: the ranks are as they were at first.
+    world.engines = vec![Engine::default(); 2];
+    let restarted = STARTED + world.now;
+    world.coordinator = Coordinator::new(SHAPE, restarted, Duration::ZERO);
+    world.now = Duration::ZERO;
+    let later: Vec<_> = (0..20).flat_map(|_| versions(world.turn())).collect();
+    assert_that!(later, not(is_empty()));
+    assert_that!(later, each(gt(&highest)));
+}
+
+#[gtest]
+fn a_rank_of_another_epoch_makes_a_group_that_is_looked_at_anew() {
+    let mut world = World::new();
+    for _ in 0..10 {
+        world.turn();
+    }
+    let mut sight = Engine::default().sight(0, 2, 1);
+    sight.epoch = 2;
+    world.coordinator.see(sight, &[], None, world.now);
+    assert_that!(world.coordinator.tick(world.now), is_empty());
+    assert_that!(world.coordinator.notes(), contains(eq(&Note::Formed(2))));
+}
