--- /dev/null
+++ b/crates/gateway/tests/all/gateway.rs
@@ -0,0 +1,180 @@
+//! The joined decisions.
+
+use std::time::Duration;
+
+use auburnline_core::error::Kind;
+use auburnline_gateway::Gateway;
+use auburnline_gateway::gateway::Admission;
+use auburnline_gateway::gateway::Bounds;
+use auburnline_gateway::gateway::Plan;
+use auburnline_gateway::gateway::Refusal;
+use auburnline_gateway::gateway::Request;
+use auburnline_gateway::neighbour::Entry;
+use auburnline_gateway::neighbour::Roster;
+use auburnline_gateway::upstream::Outcome;
+use auburnline_gateway::upstream::State;
+use googletest::prelude::*;
+
+use crate::support::millis;
+use crate::support::table;
+use crate::support::upstream;
+
+const BOUNDS: Bounds = Bounds {
+    revocation: Duration::from_secs(5),
+    retry_ratio: 0.2,
+    retry_slack: 20.0,
+    retry_window: Duration::from_secs(10),
+};
+
+fn blank() -> Gateway {
+    let me = Entry {
+        instance: "me".into(),
+        incarnation: 1,
+        beat: 0,
+        failure_domain: "north".into(),
+        callers: "10.0.0.1:80".parse().expect("an address"),
+        peers: "10.0.0.1:81".parse().expect("an address"),
+        is_ready: true,
+    };
+    Gateway::new("north".into(), BOUNDS, Roster::new(me, Vec::new()), 7)
+}
+
+/// Returns a gateway that knows all as of one second after its start.
+fn gateway(ranks: usize) -> Gateway {
+    let mut gateway = blank();
+    gateway.set_table(table(3));
+    for number in 0..ranks {
+        let id = format!("rank-{number}");
+        gateway.pool.insert(upstream(&id, "model", State::Ready));
+    }
+    for id in ["desk-0", "desk-1"] {
+        gateway.pool.insert(upstream(id, "desk", State::Ready));
+    }
+    let _ = gateway.knowledge.confirm(millis(1_000), millis(1_000));
+    gateway
+}
+
+fn ask(
+    gateway: &mut Gateway,
+    path: &str,
+    key: Option<&str>,
+    now: u64,
+) -> std::result::Result<Plan, Refusal> {
+    let request = Request {
+        host: "desk.example",
+        path,
+        key,
+        patience: Some(millis(8_000)),
+    };
+    gateway.plan(&request, millis(now))
+}
+
+fn kind(result: std::result::Result<Plan, Refusal>) -> Option<Kind> {
+    result.err().map(|refusal| refusal.kind)
+}
+
+#[gtest]
+fn a_gateway_that_knows_nothing_says_so_and_denies_nothing() {
+    let mut gateway = blank();
+    let refusal = ask(&mut gateway, "/draft/", Some("key-1"), 0).expect_err("a refusal");
+    assert_that!(refusal.kind, eq(Kind::NotReady));
+    assert_that!(refusal.retry_after, some(anything()));
+}
+
+#[gtest]
+fn unknown_routes_and_keys_are_told_apart() {
+    let mut gateway = gateway(1);
+    let none = ask(&mut gateway, "/nothing/", Some("key-1"), 1_000);
+    assert_that!(kind(none), some(eq(Kind::UnknownRoute)));
+    let unknown = ask(&mut gateway, "/draft/", Some("key-9"), 1_000);
+    assert_that!(kind(unknown), some(eq(Kind::Unauthorized)));
+    let missing = ask(&mut gateway, "/draft/", None, 1_000);
+    assert_that!(kind(missing), some(eq(Kind::Unauthorized)));
+}
+
+/// Pattern: an instance is cut off from the store while a key is taken away.
+#[gtest]
+fn a_key_is_not_served_once_its_revocation_could_be_unknown() {
+    let mut gateway = gateway(1);
+    assert_that!(
+        ask(&mut gateway, "/draft/", Some("key-1"), 5_000).is_ok(),
+        eq(true)
+    );
+    let late = ask(&mut gateway, "/draft/", Some("key-1"), 6_500);
+    assert_that!(kind(late), some(eq(Kind::NotReady)));
+    assert_that!(gateway.is_able(millis(6_500)), eq(false));
+}
+
+#[gtest]
+fn the_configuration_never_goes_back() {
+    let mut gateway = gateway(1);
+    assert_that!(gateway.set_table(table(2)), eq(false));
+    assert_that!(gateway.set_table(table(3)), eq(false));
+    assert_that!(gateway.version(), some(eq(3)));
+    assert_that!(gateway.set_table(table(9)), eq(true));
+}
+
+/// Pattern: several times more callers than the group can serve in time (measured on scale days).
+#[gtest]
+fn a_full_group_holds_a_request_for_a_bounded_moment_and_then_says_when_to_come_back() {
+    let mut gateway = gateway(12);
+    let plan = ask(&mut gateway, "/draft/", Some("key-1"), 1_000).expect("a plan");
+    let mut sent = 0;
+    while let Admission::Go(_) = gateway.admit(&plan, millis(1_000)) {
+        gateway
+            .assign(&plan, &[], millis(1_000))
+            .expect("an upstream");
+        sent += 1;
+        assert_that!(sent, le(144));
+    }
+    let Admission::Wait(until) = gateway.admit(&plan, millis(1_000)) else {
+        panic!("a full group is worth a short wait");
+    };
+    assert_that!(until, le(millis(1_000 + 400)));
+    let Admission::Refuse(refusal) = gateway.admit(&plan, until) else {
+        panic!("the wait has an end");
+    };
+    assert_that!(refusal.kind, eq(Kind::Overloaded));
+    assert_that!(refusal.retry_after, some(gt(Duration::ZERO)));
+    gateway.end("rank-0", Outcome::Answered(millis(900)), until);
+    assert_that!(
+        gateway.admit(&plan, until),
+        matches_pattern!(Admission::Go(anything()))
+    );
+}
+
+#[gtest]
+fn what_nobody_can_serve_is_refused_at_once() {
+    let mut gateway = gateway(0);
+    let plan = ask(&mut gateway, "/draft/", Some("key-1"), 1_000).expect("a plan");
+    let Admission::Refuse(refusal) = gateway.admit(&plan, millis(1_000)) else {
+        panic!("nobody takes work");
+    };
+    assert_that!(refusal.kind, eq(Kind::Unreachable));
+}
+
+/// Pattern: an upstream refuses all, and each request would be sent once more.
+#[gtest]
+fn repetitions_keep_to_the_share_of_the_fleets_budget() {
+    let mut gateway = gateway(1);
+    let plan = ask(&mut gateway, "/desk/", Some("key-1"), 2_000).expect("a plan");
+    gateway.tick(millis(2_000));
+    let mut repeated = 0;
+    for tick in 0..1_000 {
+        let now = millis(2_000 + tick * 10);
+        let choice = gateway.assign(&plan, &[], now).expect("an upstream");
+        gateway.end(&choice.upstream.id, Outcome::Refused, now);
+        repeated += u32::from(gateway.may_repeat(&plan, now));
+    }
+    // 1,000 requests in the window of 10 s: 0.2 of them, and the slack.
+    assert_that!(repeated, le(220));
+    assert_that!(repeated, ge(150));
+}
+
+#[gtest]
+fn no_slack_is_spent_before_the_fleet_is_known() {
+    let mut gateway = gateway(1);
+    let plan = ask(&mut gateway, "/desk/", Some("key-1"), 1_000).expect("a plan");
+    gateway.tick(millis(1_000));
+    assert_that!(gateway.may_repeat(&plan, millis(1_000)), eq(false));
+}
--- /dev/null
+++ b/crates/gateway/tests/all/neighbour.rs
@@ -0,0 +1,108 @@
+//! Which gateways live.
+
+use auburnline_gateway::neighbour::Beat;
+use auburnline_gateway::neighbour::Entry;
+use auburnline_gateway::neighbour::LIFE;
+use auburnline_gateway::neighbour::Roster;
+use googletest::prelude::*;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::support::millis;
+
+fn entry(name: &str, incarnation: u64, beat: u64, is_ready: bool) -> Entry {
+    let number: u16 = name.bytes().map(u16::from).sum();
+    Entry {
+        instance: name.into(),
+        incarnation,
+        beat,
+        failure_domain: "north".into(),
+        callers: format!("10.0.0.1:{number}").parse().expect("an address"),
+        peers: format!("10.0.0.2:{number}").parse().expect("an address"),
+        is_ready,
+    }
+}
+
+fn beat(from: Entry, others: Vec<Entry>) -> Beat {
+    Beat {
+        from,
+        counts: Vec::new(),
+        others,
+    }
+}
+
+fn roster() -> Roster {
+    Roster::new(entry("me", 1, 0, true), Vec::new())
+}
+
+fn offered(roster: &Roster, now: u64) -> usize {
+    roster.offer(Some("north"), 7, millis(now)).entries.len()
+}
+
+#[gtest]
+fn a_gateway_that_others_heard_of_is_offered() {
+    let mut roster = roster();
+    let others = vec![entry("c", 1, 4, true)];
+    roster.hear(&beat(entry("b", 1, 9, true), others), millis(100));
+    assert_that!(roster.live(millis(100)), eq(3));
+    assert_that!(offered(&roster, 100), eq(3));
+}
+
+#[gtest]
+fn a_silent_gateway_is_offered_no_more() {
+    let mut roster = roster();
+    roster.hear(&beat(entry("b", 1, 9, true), Vec::new()), millis(100));
+    assert_that!(roster.live(millis(100) + LIFE), eq(1));
+    assert_that!(offered(&roster, 5_000), eq(1));
+    assert_that!(roster.most(), eq(2));
+}
+
+#[gtest]
+fn hearsay_of_the_same_beat_keeps_nobody_alive() {
+    let mut roster = roster();
+    roster.hear(&beat(entry("c", 1, 9, true), Vec::new()), millis(0));
+    for tick in 1..20 {
+        let others = vec![entry("c", 1, 9, true)];
+        roster.hear(&beat(entry("b", 1, tick, true), others), millis(tick * 300));
+    }
+    assert_that!(roster.live(millis(5_700)), eq(2));
+}
+
+#[gtest]
+fn a_gateway_that_leaves_is_offered_no_more_at_once() {
+    let mut roster = roster();
+    roster.hear(&beat(entry("b", 1, 9, true), Vec::new()), millis(0));
+    let news = roster.hear(&beat(entry("b", 1, 10, false), Vec::new()), millis(100));
+    assert_that!(news, len(eq(1)));
+    assert_that!(offered(&roster, 100), eq(1));
+}
+
+#[gtest]
+fn hearsay_of_an_incarnation_before_does_not_replace_the_one_that_speaks() {
+    let mut roster = roster();
+    roster.hear(&beat(entry("c", 2, 1, true), Vec::new()), millis(0));
+    let others = vec![entry("c", 1, 900, false)];
+    roster.hear(&beat(entry("b", 1, 1, true), others), millis(100));
+    assert_that!(offered(&roster, 100), eq(3));
+}
+
+#[gtest]
+fn a_process_that_stood_still_does_not_take_all_others_for_dead() {
+    let mut roster = roster();
+    roster.hear(&beat(entry("b", 1, 9, true), Vec::new()), millis(0));
+    roster.pause(millis(4_000));
+    assert_that!(roster.live(millis(4_100)), eq(2));
+}
+
+#[gtest]
+fn a_beat_costs_no_more_in_a_larger_fleet() {
+    let mut roster = roster();
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for number in 0..300 {
+        let from = entry(&format!("gateway-{number}"), 1, 1, true);
+        roster.hear(&beat(from, Vec::new()), millis(0));
+    }
+    let beat = roster.beat(Vec::new(), millis(100), &mut rng);
+    assert_that!(beat.others.len(), le(12));
+    assert_that!(roster.targets(millis(100), &mut rng).len(), le(6));
+}
--- /dev/null
+++ b/crates/gateway/tests/all/pace.rs
@@ -0,0 +1,63 @@
+//! How many streams a group can carry.
+
+use auburnline_gateway::pace::Group;
+use auburnline_gateway::pace::Load;
+use googletest::prelude::*;
+
+use crate::support::ENGINE;
+use crate::support::millis;
+
+fn load(in_flight: u32) -> Load {
+    Load {
+        ranks: 12,
+        in_flight,
+    }
+}
+
+/// Lets a group see passes of one length for some seconds.
+fn group(pause: u64, in_flight: u32) -> Group {
+    let mut group = Group::default();
+    for tick in 0..40 {
+        group.observe(
+            &ENGINE,
+            millis(120),
+            millis(pause),
+            load(in_flight),
+            millis(tick * 100),
+        );
+    }
+    group
+}
+
+/// Pattern: more callers than a group can serve in time. Its passes grow with all that it runs, and
+/// past the longest pause all its streams are late at once (measured: 0.33 of the credit).
+#[gtest]
+fn a_group_whose_passes_grow_takes_fewer_streams() {
+    let slow = group(110, 100).predict(&ENGINE, millis(120), load(100));
+    let quick = group(50, 100).predict(&ENGINE, millis(120), load(100));
+    assert_that!(slow.most, lt(100.0));
+    assert_that!(quick.most, gt(120.0));
+}
+
+#[gtest]
+fn the_prediction_meets_what_was_seen() {
+    let predicted = group(80, 100).predict(&ENGINE, millis(120), load(99));
+    assert_that!(predicted.pass.as_secs_f64(), near(0.080, 0.002));
+}
+
+/// Pattern: a rank crashes and the whole group stalls for more than a second.
+#[gtest]
+fn a_stall_is_no_load() {
+    let mut group = group(60, 60);
+    let before = group.predict(&ENGINE, millis(120), load(60));
+    group.observe(&ENGINE, millis(120), millis(1_500), load(60), millis(9_000));
+    assert_that!(group.predict(&ENGINE, millis(120), load(60)), eq(before));
+}
+
+#[gtest]
+fn no_lull_opens_a_group_beyond_its_places_and_no_burst_shuts_it() {
+    let open = group(30, 100).predict(&ENGINE, millis(120), load(0));
+    assert_that!(open.most, le(144.0));
+    let shut = group(400, 30).predict(&ENGINE, millis(120), load(0));
+    assert_that!(shut.most, ge(12.0));
+}
--- /dev/null
+++ b/crates/gateway/tests/all/route.rs
@@ -0,0 +1,56 @@
+//! Lookups in a configuration.
+
+use auburnline_gateway::route::Kind;
+use auburnline_gateway::route::Table;
+use googletest::prelude::*;
+
+use crate::support::content;
+use crate::support::route;
+use crate::support::table;
+
+fn prefix(path: &str) -> Option<String> {
+    let table = table(1);
+    let route = table.route("desk.example", path);
+    route.map(|route| route.prefix.clone())
+}
+
+#[gtest]
+fn the_longest_prefix_takes_a_request() {
+    assert_that!(prefix("/desk/cover/17"), some(eq("/desk/cover/")));
+    assert_that!(prefix("/desk/other"), some(eq("/desk/")));
+    assert_that!(prefix("/desk/"), some(eq("/desk/")));
+}
+
+#[gtest]
+fn a_prefix_ends_where_a_part_of_the_path_ends() {
+    assert_that!(prefix("/desktop/"), none());
+    assert_that!(prefix("/desk"), none());
+    assert_that!(prefix(""), none());
+}
+
+#[gtest]
+fn hosts_are_told_apart_without_regard_to_case() {
+    let table = table(1);
+    assert_that!(table.route("DESK.example", "/desk/"), some(anything()));
+    assert_that!(table.route("other.example", "/desk/"), none());
+}
+
+#[gtest]
+fn a_key_names_its_workspace() {
+    let table = table(1);
+    let workspace = table.workspace("key-1").expect("a workspace");
+    assert_that!(&*workspace.name, eq("valley"));
+    assert_that!(table.workspace("key-2"), none());
+    assert_that!(table.workspace(""), none());
+}
+
+#[gtest]
+fn a_root_route_takes_what_no_other_does() {
+    let routes = vec![
+        route("/", "desk", Kind::Safe),
+        route("/a/", "desk", Kind::Safe),
+    ];
+    let table = Table::new(content(1, routes));
+    let found = table.route("desk.example", "/b/c").expect("a route");
+    assert_that!(found.prefix, eq("/"));
+}
--- /dev/null
+++ b/crates/gateway/tests/all/support.rs
@@ -0,0 +1,99 @@
+//! Configurations and upstreams for the tests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnline_gateway::route::Content;
+use auburnline_gateway::route::Engine;
+use auburnline_gateway::route::Kind;
+use auburnline_gateway::route::Limits;
+use auburnline_gateway::route::Route;
+use auburnline_gateway::route::Service;
+use auburnline_gateway::route::Table;
+use auburnline_gateway::route::Target;
+use auburnline_gateway::route::Workspace;
+use auburnline_gateway::upstream::State;
+use auburnline_gateway::upstream::Upstream;
+
+/// Cost model of the users' smaller deployments.
+pub(crate) const ENGINE: Engine = Engine {
+    slots: 12,
+    steps: 5,
+    step: Duration::from_micros(5_850),
+    per_request: Duration::from_micros(355),
+    per_context: Duration::from_micros(36),
+    read_rate: 61_200.0,
+    chunk: 512,
+    usual_prompt: 835.0,
+    usual_answer: 139.0,
+    form: Duration::from_millis(600),
+    shape: None,
+};
+
+pub(crate) fn millis(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+pub(crate) fn route(prefix: &str, service: &str, kind: Kind) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: "desk.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout: millis(8_000),
+        objective: millis(400),
+        longest_pause: kind.is_stream().then(|| millis(120)),
+        priority: 1,
+        targets: vec![Target {
+            service: service.into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        is_anonymous: false,
+    }
+}
+
+pub(crate) fn content(version: u64, routes: Vec<Route>) -> Content {
+    let service = |name: &str, engine| Service {
+        name: name.into(),
+        max_connections: 100,
+        engine,
+    };
+    let workspace = Workspace {
+        name: "valley".into(),
+        priority: None,
+    };
+    Content {
+        version,
+        routes,
+        services: vec![service("model", Some(ENGINE)), service("desk", None)],
+        workspaces: vec![(workspace, vec!["key-1".to_owned()])],
+        limits: Limits {
+            header_bytes: 16_384,
+            body_bytes: 1 << 20,
+            arrival: millis(3_000),
+            idle: millis(15_000),
+        },
+    }
+}
+
+pub(crate) fn table(version: u64) -> Table {
+    let stream = Kind::Stream { resumable: true };
+    let routes = vec![
+        route("/draft/", "model", stream),
+        route("/desk/", "desk", Kind::Unsafe),
+        route("/desk/cover/", "desk", Kind::Safe),
+    ];
+    Table::new(content(version, routes))
+}
+
+pub(crate) fn upstream(id: &str, service: &str, state: State) -> Upstream {
+    Upstream {
+        id: id.into(),
+        service: service.into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        failure_domain: Arc::from("north"),
+        slots: 12,
+        state,
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/all/upstream.rs
@@ -0,0 +1,127 @@
+//! Upstreams that may take work.
+
+use auburnline_gateway::upstream::Change;
+use auburnline_gateway::upstream::Outcome;
+use auburnline_gateway::upstream::Pool;
+use auburnline_gateway::upstream::Preference;
+use auburnline_gateway::upstream::State;
+use auburnline_gateway::upstream::UpstreamId;
+use auburnline_gateway::upstream::tag;
+use googletest::prelude::*;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::support::millis;
+use crate::support::upstream;
+
+fn pool(count: usize) -> Pool {
+    let mut pool = Pool::default();
+    for number in 0..count {
+        pool.insert(upstream(&format!("u{number}"), "desk", State::Ready));
+    }
+    pool
+}
+
+fn choose(pool: &Pool, preference: Preference, tried: &[UpstreamId], now: u64) -> Option<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let choice = pool.choose("desk", preference, "south", tried, millis(now), &mut rng);
+    choice.map(|choice| choice.upstream.id.to_string())
+}
+
+#[gtest]
+fn an_upstream_that_leaves_gets_nothing_new() {
+    let mut pool = pool(2);
+    let change = pool.insert(upstream("u0", "desk", State::Draining));
+    assert_that!(change, some(matches_pattern!(Change::Leaving(anything()))));
+    for _ in 0..20 {
+        assert_that!(choose(&pool, Preference::EvenLoad, &[], 0), some(eq("u1")));
+    }
+    assert_that!(pool.ready("desk"), eq(1));
+}
+
+#[gtest]
+fn the_neighbours_load_counts() {
+    let mut pool = pool(2);
+    pool.set_elsewhere(1, vec![(tag("u0"), 5)], millis(100));
+    assert_that!(
+        choose(&pool, Preference::EvenLoad, &[], 100),
+        some(eq("u1"))
+    );
+    assert_that!(pool.in_flight("desk"), eq((0, 5)));
+    // A neighbour that fell silent has nothing in flight that is known.
+    pool.set_elsewhere(2, Vec::new(), millis(5_000));
+    assert_that!(pool.in_flight("desk"), eq((0, 0)));
+}
+
+#[gtest]
+fn what_was_tried_is_not_tried_again() {
+    let pool = pool(2);
+    let tried = [UpstreamId::from("u0")];
+    assert_that!(
+        choose(&pool, Preference::EvenLoad, &tried, 0),
+        some(eq("u1"))
+    );
+    let tried = [UpstreamId::from("u0"), UpstreamId::from("u1")];
+    assert_that!(choose(&pool, Preference::EvenLoad, &tried, 0), none());
+}
+
+/// Pattern: an upstream fails part of its requests while its health check is good.
+#[gtest]
+fn an_upstream_that_fails_is_left_out_for_seconds_and_then_tried_again() {
+    let mut pool = pool(3);
+    for _ in 0..3 {
+        pool.begin("u0");
+        pool.end("u0", Outcome::Failed, millis(1_000));
+    }
+    for other in ["u1", "u2"] {
+        (0..4).for_each(|_| pool.begin(other));
+    }
+    assert_that!(
+        choose(&pool, Preference::ShortestTime, &[], 1_000),
+        some(not(eq("u0")))
+    );
+    assert_that!(
+        choose(&pool, Preference::ShortestTime, &[], 12_000),
+        some(eq("u0"))
+    );
+}
+
+/// Pattern: one upstream works several times slower than its peers.
+#[gtest]
+fn a_slow_upstream_of_a_plain_service_gets_less() {
+    let mut pool = pool(2);
+    for (id, took) in [("u0", 150), ("u1", 15)] {
+        for _ in 0..5 {
+            pool.begin(id);
+            pool.end(id, Outcome::Answered(millis(took)), millis(1_000));
+        }
+    }
+    pool.begin("u1");
+    pool.begin("u1");
+    assert_that!(
+        choose(&pool, Preference::ShortestTime, &[], 1_000),
+        some(eq("u1"))
+    );
+}
+
+/// Upstreams that live are written anew within about two seconds of the store's return.
+#[gtest]
+fn entries_that_lapsed_while_the_store_was_away_may_come_back() {
+    let mut pool = pool(2);
+    pool.miss("u0", millis(1_000));
+    assert_that!(pool.expire(true), is_empty());
+    assert_that!(pool.ready("desk"), eq(2));
+    pool.insert(upstream("u0", "desk", State::Ready));
+    assert_that!(pool.expire(false), is_empty());
+    pool.miss("u1", millis(3_000));
+    assert_that!(pool.expire(false), len(eq(1)));
+    assert_that!(pool.ready("desk"), eq(1));
+}
+
+#[gtest]
+fn a_whole_list_tells_what_is_missing() {
+    let mut pool = pool(3);
+    let changes = pool.replace(vec![upstream("u1", "desk", State::Ready)], millis(0));
+    assert_that!(changes, is_empty());
+    assert_that!(pool.expire(false), len(eq(2)));
+}
