--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,12 +4,14 @@
 //! [`Gateway::admit`] (whether the group can take it in time) and [`Gateway::assign`] (which
 //! upstream); [`Gateway::may_repeat`] answers after a failure. Each answer tells what decided it.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use auburnline_core::error::Kind as ErrorKind;
 use auburnline_core::id::FailureDomainId;
+use auburnline_core::id::GroupId;
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Members;
@@ -19,6 +21,7 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
+use crate::group::Groups;
 use crate::knowledge::Knowledge;
 use crate::neighbour::Roster;
 use crate::pace;
@@ -30,10 +33,14 @@
 use crate::route::ServiceId;
 use crate::route::Table;
 use crate::route::Workspace;
+use crate::spread;
+use crate::spread::Need;
+use crate::spread::Spread;
 use crate::upstream::Choice;
 use crate::upstream::Outcome;
 use crate::upstream::Pool;
 use crate::upstream::Preference;
+use crate::upstream::Upstream;
 use crate::upstream::UpstreamId;
 
 /// Part of a request's objective that it may wait for a place: the rest is for reading the prompt and
@@ -50,6 +57,9 @@
 /// Time to come back to a gateway that knows too little: the caller finds another one.
 const ELSEWHERE_RETURN: Duration = Duration::from_millis(100);
 
+/// Gateways that a sidecar is told of, within one datagram.
+const MOST_GATEWAYS: usize = 512;
+
 /// Bounds that the platform's operators set.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -144,15 +154,19 @@
     failure_domain: FailureDomainId,
     bounds: Bounds,
     table: Option<Arc<Table>>,
-    groups: HashMap<ServiceId, Group>,
+    paces: HashMap<GroupId, Group>,
     budget: Budget<ServiceId, ServiceId>,
     rng: ChaCha8Rng,
     /// Upstreams.
     pub pool: Pool,
     /// Other gateways.
     pub roster: Roster,
+    /// Which upstreams run in lock-step.
+    pub groups: Groups,
     /// Age of what is known.
     pub knowledge: Knowledge,
+    /// What was read of the store.
+    pub spread: Spread,
 }
 
 impl Gateway {
@@ -167,12 +181,14 @@
         Gateway {
             failure_domain,
             table: None,
-            groups: HashMap::new(),
+            paces: HashMap::new(),
+            groups: Groups::default(),
             budget: Budget::new(shares(&bounds, None)),
             rng: ChaCha8Rng::seed_from_u64(seed),
             pool: Pool::default(),
             roster,
             knowledge: Knowledge::new(bounds.revocation),
+            spread: Spread::default(),
             bounds,
         }
     }
@@ -219,6 +235,14 @@
         self.table.is_some() && self.knowledge.is_fresh(now)
     }
 
+    /// Says what this gateway has to read of the store now.
+    #[must_use]
+    pub fn need(&self, now: Monotonic) -> Need {
+        let (_, is_reader) = self.roster.readers(now);
+        let is_alone = spread::helps_itself(self.knowledge.age(now));
+        self.spread.need(is_reader || is_alone)
+    }
+
     /// Finds out how a request may be served.
     ///
     /// # Errors
@@ -297,9 +321,11 @@
         let (Some(engine), Some(longest)) = (plan.engine, plan.route.longest_pause) else {
             return Admission::Go(None);
         };
-        let load = self.load(&plan.service);
-        let group = self.groups.entry(Arc::clone(&plan.service)).or_default();
-        let prediction = group.predict(&engine, longest, load);
+        let Some((_, load, prediction)) = self.roomiest(&plan.service, &engine, longest, now)
+        else {
+            let refusal = Refusal::of(ErrorKind::Unreachable, "all groups are shut");
+            return Admission::Refuse(refusal.after(NO_UPSTREAM_RETURN));
+        };
         if f64::from(load.in_flight) < prediction.most {
             return Admission::Go(Some(prediction));
         }
@@ -313,27 +339,61 @@
         Admission::Refuse(refusal.after(Duration::from_secs_f64(after)))
     }
 
-    fn load(&self, service: &str) -> Load {
-        let (own, elsewhere) = self.pool.in_flight(service);
-        Load {
-            ranks: u32::try_from(self.pool.ready(service)).unwrap_or(u32::MAX),
-            in_flight: own.saturating_add(elsewhere),
+    /// Returns the load of each open group of a service.
+    fn loads(&self, service: &str, now: Monotonic) -> BTreeMap<GroupId, Load> {
+        let mut loads: BTreeMap<GroupId, Load> = BTreeMap::new();
+        for (upstream, in_flight) in self.pool.loads(service) {
+            let group = self.group_of(upstream);
+            let load = loads.entry(group).or_default();
+            load.ranks += 1;
+            load.in_flight = load.in_flight.saturating_add(in_flight);
         }
+        loads.retain(|group, _| !self.groups.is_shut(group, now));
+        loads
+    }
+
+    /// Returns an upstream's group; those of which none is known make one for their service.
+    fn group_of(&self, upstream: &Upstream) -> GroupId {
+        let known = self.groups.of(upstream.address);
+        known.unwrap_or(&upstream.service).clone()
+    }
+
+    /// Returns the open group with the most room for one stream more.
+    fn roomiest(
+        &mut self,
+        service: &str,
+        engine: &Engine,
+        longest: Duration,
+        now: Monotonic,
+    ) -> Option<(GroupId, Load, Prediction)> {
+        let loads = self.loads(service, now).into_iter();
+        let predicted = loads.map(|(group, load)| {
+            let pace = self.paces.entry(group.clone()).or_default();
+            let prediction = pace.predict(engine, longest, load);
+            (group, load, prediction)
+        });
+        predicted.min_by(|(_, one, of_one), (_, other, of_other)| {
+            let one = f64::from(one.in_flight) / of_one.most;
+            let other = f64::from(other.in_flight) / of_other.most;
+            one.total_cmp(&other)
+        })
     }
 
-    /// Takes the pause between two events of a stream.
-    pub fn observe(&mut self, plan: &Plan, pause: Duration, now: Monotonic) {
+    /// Takes the pause between two events of a stream of `group`.
+    pub fn observe(&mut self, plan: &Plan, group: &GroupId, pause: Duration, now: Monotonic) {
         let (Some(engine), Some(longest)) = (plan.engine, plan.route.longest_pause) else {
             return;
         };
-        let load = self.load(&plan.service);
-        let group = self.groups.entry(Arc::clone(&plan.service)).or_default();
-        group.observe(&engine, longest, pause, load, now);
+        let Some(load) = self.loads(&plan.service, now).remove(group) else {
+            return;
+        };
+        let pace = self.paces.entry(group.clone()).or_default();
+        pace.observe(&engine, longest, pause, load, now);
     }
 
     /// Answers a sidecar that asks who serves a service.
     #[must_use]
-    pub fn members(&self, ask: &Ask) -> Members {
+    pub fn members(&self, ask: &Ask, now: Monotonic) -> Members {
         let service = self
             .table
             .as_ref()
@@ -344,14 +404,15 @@
         Members {
             service: ask.service.clone(),
             upstreams: upstreams.map(|upstream| upstream.address).collect(),
+            gateways: self.roster.addresses(now, MOST_GATEWAYS),
             shape: engine.and_then(|engine| engine.shape),
         }
     }
 
     /// Returns what is known of a group's pace.
     #[must_use]
-    pub fn group(&self, service: &str) -> Option<&pace::Group> {
-        self.groups.get(service)
+    pub fn pace(&self, group: &str) -> Option<&pace::Group> {
+        self.paces.get(group)
     }
 
     /// Chooses the upstream of the next send and counts it there.
@@ -364,15 +425,20 @@
         plan: &Plan,
         tried: &[UpstreamId],
         now: Monotonic,
-    ) -> Result<Choice, Refusal> {
-        let preference = match plan.engine {
-            Some(_) => Preference::EvenLoad,
-            None => Preference::ShortestTime,
+    ) -> Result<(Choice, GroupId), Refusal> {
+        let is_new = |upstream: &Upstream| !tried.contains(&upstream.id);
+        let mut rng = ChaCha8Rng::from_rng(&mut self.rng);
+        let choice = match (plan.engine, plan.route.longest_pause) {
+            (Some(engine), Some(longest)) => {
+                let roomiest = self.roomiest(&plan.service, &engine, longest, now);
+                roomiest.and_then(|(group, ..)| {
+                    let may_take =
+                        |upstream: &Upstream| is_new(upstream) && self.group_of(upstream) == group;
+                    self.choose(plan, Preference::EvenLoad, may_take, now, &mut rng)
+                })
+            }
+            _ => self.choose(plan, Preference::ShortestTime, is_new, now, &mut rng),
         };
-        let domain = &self.failure_domain;
-        let choice = self
-            .pool
-            .choose(&plan.service, preference, domain, tried, now, &mut self.rng);
         let Some(choice) = choice else {
             let refusal = Refusal::of(ErrorKind::Unreachable, "no upstream is left");
             return Err(refusal.after(NO_UPSTREAM_RETURN));
@@ -381,7 +447,21 @@
         if tried.is_empty() {
             self.budget.first(now, &plan.service, &plan.service);
         }
-        Ok(choice)
+        let group = self.group_of(&choice.upstream);
+        Ok((choice, group))
+    }
+
+    fn choose(
+        &self,
+        plan: &Plan,
+        preference: Preference,
+        may_take: impl Fn(&Upstream) -> bool,
+        now: Monotonic,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<Choice> {
+        let domain = &self.failure_domain;
+        self.pool
+            .choose(&plan.service, preference, domain, may_take, now, rng)
     }
 
     /// Takes how a send ended.
--- /dev/null
+++ b/crates/gateway/src/group.rs
@@ -0,0 +1,63 @@
+//! Which upstreams run in lock-step with each other.
+//!
+//! The sidecar that leads a group tells gateways who belongs to it and whether it serves. What is not
+//! heard of counts as one group of the service that is open: a wrong guess costs balance, never safety.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use auburnline_core::id::GroupId;
+use auburnline_core::time::Monotonic;
+use auburnline_lockstep::message::Digest;
+
+/// Age from which on the word that a group is shut is not believed: the lead may have died since, and
+/// a group forms anew within about a second.
+const SHUT_AGE: Duration = Duration::from_secs(2);
+/// Groups that are remembered at most.
+const MOST: usize = 1_024;
+
+#[derive(Clone, Copy, Debug)]
+struct State {
+    is_open: bool,
+    heard: Monotonic,
+}
+
+/// All groups that this gateway heard of.
+#[derive(Clone, Debug, Default)]
+pub struct Groups {
+    by_address: HashMap<SocketAddr, GroupId>,
+    states: HashMap<GroupId, State>,
+}
+
+impl Groups {
+    /// Takes the word of a lead; returns whether the group opened or shut.
+    pub fn hear(&mut self, digest: &Digest, now: Monotonic) -> bool {
+        let group = GroupId::from(digest.group.as_str());
+        let is_known = self.states.contains_key(&group);
+        if !is_known && self.states.len() >= MOST {
+            return false;
+        }
+        let is_open = digest.is_open;
+        let heard = now;
+        let before = self.states.insert(group.clone(), State { is_open, heard });
+        self.by_address.retain(|_, of| *of != group);
+        let engines = digest.engines.iter();
+        self.by_address
+            .extend(engines.map(|engine| (*engine, group.clone())));
+        before.is_none_or(|before| before.is_open != is_open)
+    }
+
+    /// Returns the group of the upstream at `address`.
+    #[must_use]
+    pub fn of(&self, address: SocketAddr) -> Option<&GroupId> {
+        self.by_address.get(&address)
+    }
+
+    /// Returns whether a group was lately said to be shut.
+    #[must_use]
+    pub fn is_shut(&self, group: &str, now: Monotonic) -> bool {
+        let state = self.states.get(group);
+        state.is_some_and(|state| !state.is_open && now.saturating_sub(state.heard) < SHUT_AGE)
+    }
+}
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -13,6 +13,7 @@
 use auburnline_core::id::InstanceId;
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::message::Ask;
+use auburnline_lockstep::message::Digest;
 use auburnline_membership::discovery;
 use auburnline_membership::discovery::Candidate;
 use auburnline_membership::discovery::Offer;
@@ -21,6 +22,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::spread;
 use crate::upstream::Counts;
 
 /// Time between two beats: several arrive within [`LIFE`], and counts of what is in flight stay
@@ -56,6 +58,8 @@
     pub peers: SocketAddr,
     /// Whether it takes new requests.
     pub is_ready: bool,
+    /// Whether the store does not answer it.
+    pub is_cut: bool,
 }
 
 /// What a gateway sends to others.
@@ -76,6 +80,12 @@
     Beat(Beat),
     /// Question of a sidecar.
     Ask(Ask),
+    /// Word of a lead about its group.
+    Group(Digest),
+    /// Question for what changed at the store.
+    Question(spread::Question),
+    /// What changed at the store.
+    Answer(spread::Answer),
 }
 
 #[derive(Clone, Debug)]
@@ -139,6 +149,35 @@
         self.me.is_ready
     }
 
+    /// Sets whether the store does not answer this gateway.
+    pub fn set_cut(&mut self, is_cut: bool) {
+        self.me.is_cut = is_cut;
+    }
+
+    /// Returns whether the store does not answer this gateway.
+    #[must_use]
+    pub const fn is_cut(&self) -> bool {
+        self.me.is_cut
+    }
+
+    /// Returns the addresses of the gateways that read the store for this one's failure domain, and
+    /// whether this one is among them.
+    #[must_use]
+    pub fn readers(&self, now: Monotonic) -> (Vec<SocketAddr>, bool) {
+        let live = self.others.values().filter(|known| known.lives(now));
+        let all = live.map(|known| &known.entry).chain([&self.me]);
+        let able =
+            all.filter(|entry| entry.failure_domain == self.me.failure_domain && !entry.is_cut);
+        let readers = spread::readers(able.collect());
+        let is_reader = readers
+            .iter()
+            .any(|entry| entry.instance == self.me.instance);
+        let others = readers
+            .iter()
+            .filter(|entry| entry.instance != self.me.instance);
+        (others.map(|entry| entry.peers).collect(), is_reader)
+    }
+
     /// Takes a beat of another gateway.
     pub fn hear(&mut self, beat: &Beat, now: Monotonic) -> Vec<News> {
         let mut news = Vec::new();
@@ -213,6 +252,17 @@
         targets
     }
 
+    /// Returns the addresses of live gateways towards other processes, at most `most`.
+    #[must_use]
+    pub fn addresses(&self, now: Monotonic, most: usize) -> Vec<SocketAddr> {
+        let live = self.others.values().filter(|known| known.lives(now));
+        let others = live.map(|known| known.entry.peers);
+        std::iter::once(self.me.peers)
+            .chain(others)
+            .take(most)
+            .collect()
+    }
+
     /// Returns how many gateways live, this one included.
     #[must_use]
     pub fn live(&self, now: Monotonic) -> usize {
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -28,7 +28,7 @@
 const LEAST_PER_RANK: f64 = 1.0;
 
 /// What runs at a group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
     /// Ranks that take requests.
     pub ranks: u32,
--- /dev/null
+++ b/crates/gateway/src/spread.rs
@@ -0,0 +1,238 @@
+//! Who reads the store, and how the others learn what it says.
+//!
+//! Each failure domain has a few readers, chosen alike by all from who lives and reaches the store. The
+//! others ask them and get the changes since the revision that they know, or hear that they must read
+//! all by themselves. An answer counts as asked when the question was sent, less the reader's own
+//! age, so that what was held up on the way never seems younger than it is.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use auburnline_core::hash::rendezvous;
+use auburnline_core::time::Monotonic;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::neighbour::Entry;
+use crate::upstream::Upstream;
+use crate::upstream::UpstreamId;
+
+/// Revision of the store; it grows with each change.
+pub type Revision = u64;
+
+/// Readers of a failure domain: one may die while another is not yet chosen.
+const READERS: usize = 2;
+/// Gateways of a failure domain up to which all read: asking would save nothing.
+const ALL_READ: usize = 3;
+/// Changes that a reader keeps for those who ask: several seconds of the busiest days.
+const KEPT: usize = 256;
+/// Changes that one answer holds, so that it stays within one datagram.
+const TOLD: usize = 64;
+/// Age of knowledge from which on a gateway reads by itself, whoever else should: two periods of a
+/// watch and a question, and well before keys are not trusted any more.
+const HELP_YOURSELF: Duration = Duration::from_millis(2_800);
+
+/// One change of what is published.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Published {
+    /// An upstream was written.
+    Upstream(Upstream),
+    /// An upstream is missing.
+    Missing(UpstreamId),
+    /// A configuration was written; it is too large to be told and is read by each for itself.
+    Configuration,
+}
+
+/// Question for what changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// Number of the question at its sender.
+    pub number: u64,
+    /// Revision that the sender knows.
+    pub revision: Revision,
+}
+
+/// Answer of a reader.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Number of the question; none if nobody asked.
+    pub number: Option<u64>,
+    /// Revision after which the changes begin.
+    pub since: Revision,
+    /// Revision up to which nothing is missing.
+    pub until: Revision,
+    /// Age of the reader's knowledge.
+    pub age: Duration,
+    /// Changes, in order.
+    pub changes: Vec<(Revision, Published)>,
+}
+
+/// What this gateway has to read now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// All that is published.
+    All,
+    /// The configuration.
+    Configuration,
+    /// Changes after a revision, as a reader.
+    Changes(Revision),
+    /// Nothing; others read.
+    Nothing,
+}
+
+/// State of the spread at one gateway.
+#[derive(Clone, Debug, Default)]
+pub struct Spread {
+    revision: Option<Revision>,
+    /// Revision of the newest configuration that was heard of, and of the one that was read.
+    heard: Revision,
+    read: Revision,
+    changes: VecDeque<(Revision, Published)>,
+    /// Revision after which `changes` holds all.
+    kept_after: Revision,
+    /// The last question, and when it was sent.
+    asked: Option<(u64, Monotonic)>,
+    number: u64,
+}
+
+impl Spread {
+    /// Returns the revision that is known.
+    #[must_use]
+    pub const fn revision(&self) -> Option<Revision> {
+        self.revision
+    }
+
+    /// Takes that all was read as of `revision`, and a configuration written at `configuration`.
+    pub fn read_all(&mut self, revision: Revision, configuration: Revision) {
+        self.revision = Some(revision);
+        self.read_configuration(configuration);
+        self.changes.clear();
+        self.kept_after = revision;
+    }
+
+    /// Takes that a configuration written at `revision` was read.
+    pub fn read_configuration(&mut self, revision: Revision) {
+        self.read = self.read.max(revision);
+        self.heard = self.heard.max(revision);
+    }
+
+    /// Takes that the store no longer has the changes after the known revision.
+    pub const fn forget(&mut self) {
+        self.revision = None;
+    }
+
+    /// Takes changes up to `until`, in order; returns those that are new.
+    pub fn take(&mut self, changes: Vec<(Revision, Published)>, until: Revision) -> Vec<Published> {
+        let known = self.revision.unwrap_or(0);
+        let mut new = Vec::new();
+        for (revision, change) in changes {
+            if revision <= known {
+                continue;
+            }
+            if change == Published::Configuration {
+                self.heard = self.heard.max(revision);
+            }
+            self.changes.push_back((revision, change.clone()));
+            new.push(change);
+        }
+        while self.changes.len() > KEPT {
+            if let Some((revision, _)) = self.changes.pop_front() {
+                self.kept_after = revision;
+            }
+        }
+        self.revision = Some(known.max(until));
+        new
+    }
+
+    /// Says what this gateway has to read.
+    #[must_use]
+    pub fn need(&self, is_reader: bool) -> Need {
+        match self.revision {
+            None => Need::All,
+            Some(_) if self.heard > self.read => Need::Configuration,
+            Some(revision) if is_reader => Need::Changes(revision),
+            Some(_) => Need::Nothing,
+        }
+    }
+
+    /// Makes the next question; none before all was read once.
+    pub fn question(&mut self, now: Monotonic) -> Option<Question> {
+        let revision = self.revision?;
+        self.number += 1;
+        self.asked = Some((self.number, now));
+        Some(Question {
+            number: self.number,
+            revision,
+        })
+    }
+
+    /// Answers a question; none if nothing is known or the changes are no longer kept.
+    #[must_use]
+    pub fn answer(&self, question: Question, age: Duration) -> Option<Answer> {
+        let answer = self.since(question.revision, age)?;
+        Some(Answer {
+            number: Some(question.number),
+            ..answer
+        })
+    }
+
+    /// Returns the changes after `since` for those who did not ask.
+    #[must_use]
+    pub fn since(&self, since: Revision, age: Duration) -> Option<Answer> {
+        let known = self.revision?;
+        if since < self.kept_after {
+            return None;
+        }
+        let later = self
+            .changes
+            .iter()
+            .filter(|(revision, _)| *revision > since);
+        let changes: Vec<_> = later.take(TOLD).cloned().collect();
+        let is_cut = changes.len() == TOLD;
+        let last = changes.last().map_or(known, |(revision, _)| *revision);
+        let until = if is_cut { last } else { known.max(since) };
+        Some(Answer {
+            number: None,
+            since,
+            until,
+            age,
+            changes,
+        })
+    }
+
+    /// Takes an answer of a reader. Returns what is new, and as of when all up to now is known, if it is.
+    pub fn hear(&mut self, answer: Answer) -> (Vec<Published>, Option<Monotonic>) {
+        let Some(known) = self.revision else {
+            return (Vec::new(), None);
+        };
+        if answer.since > known {
+            // Changes between are missing; the next question asks for them.
+            return (Vec::new(), None);
+        }
+        let until = answer.until;
+        let new = self.take(answer.changes, until);
+        // A reader that knows less than this gateway confirms nothing.
+        let is_whole = until >= known && self.heard <= self.read;
+        let asked = self
+            .asked
+            .filter(|(number, _)| Some(*number) == answer.number);
+        let asked = asked.map(|(_, at)| at.saturating_sub(answer.age));
+        (new, asked.filter(|_| is_whole))
+    }
+}
+
+/// Returns the readers among the gateways of one failure domain that live and reach the store.
+#[must_use]
+pub fn readers<'a>(mut able: Vec<&'a Entry>) -> Vec<&'a Entry> {
+    if able.len() > ALL_READ {
+        able.sort_by_key(|entry| std::cmp::Reverse(rendezvous("readers", &entry.instance)));
+        able.truncate(READERS);
+    }
+    able
+}
+
+/// Returns whether knowledge of this age is so old that a gateway reads by itself.
+#[must_use]
+pub fn helps_itself(age: Option<Duration>) -> bool {
+    age.is_none_or(|age| age > HELP_YOURSELF)
+}
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -14,6 +14,8 @@
 use auburnline_core::id::FailureDomainId;
 use auburnline_core::time::Monotonic;
 use rand::Rng;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::route::ServiceId;
 
@@ -40,7 +42,7 @@
 const NEAR_ADVANTAGE: f64 = 0.25;
 
 /// Whether an upstream takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// It does.
     Ready,
@@ -49,7 +51,7 @@
 }
 
 /// One upstream, as published.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Upstream {
     /// Id of this incarnation.
     pub id: UpstreamId,
@@ -276,6 +278,12 @@
         members.filter(move |member| member.takes_work() && *member.upstream.service == *service)
     }
 
+    /// Returns each upstream of a service that takes work, with its requests in flight from all gateways.
+    pub fn loads<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (&'a Upstream, u32)> {
+        self.of(service)
+            .map(|member| (&*member.upstream, self.load(member)))
+    }
+
     /// Returns the requests in flight at a service: this gateway's and its neighbours'.
     #[must_use]
     pub fn in_flight(&self, service: &str) -> (u32, u32) {
@@ -289,19 +297,19 @@
         sums
     }
 
-    /// Chooses an upstream of `service` that is not among `tried`.
+    /// Chooses an upstream of `service` among those that `may_take` the request.
     pub fn choose(
         &self,
         service: &str,
         preference: Preference,
         near: &str,
-        tried: &[UpstreamId],
+        may_take: impl Fn(&Upstream) -> bool,
         now: Monotonic,
         rng: &mut impl Rng,
     ) -> Option<Choice> {
         let candidates: Vec<&Member> = self
             .of(service)
-            .filter(|member| !tried.contains(&member.upstream.id))
+            .filter(|member| may_take(&member.upstream))
             .collect();
         let usual = least_mean(&candidates);
         let scored = candidates.iter().map(|member| {
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -35,6 +35,7 @@
         callers: "10.0.0.1:80".parse().expect("an address"),
         peers: "10.0.0.1:81".parse().expect("an address"),
         is_ready: true,
+        is_cut: false,
     };
     Gateway::new("north".into(), BOUNDS, Roster::new(me, Vec::new()), 7)
 }
@@ -162,7 +163,7 @@
     let mut repeated = 0;
     for tick in 0..1_000 {
         let now = millis(2_000 + tick * 10);
-        let choice = gateway.assign(&plan, &[], now).expect("an upstream");
+        let (choice, _) = gateway.assign(&plan, &[], now).expect("an upstream");
         gateway.end(&choice.upstream.id, Outcome::Refused, now);
         repeated += u32::from(gateway.may_repeat(&plan, now));
     }
--- a/crates/gateway/tests/all/upstream.rs
+++ b/crates/gateway/tests/all/upstream.rs
@@ -24,7 +24,14 @@
 
 fn choose(pool: &Pool, preference: Preference, tried: &[UpstreamId], now: u64) -> Option<String> {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
-    let choice = pool.choose("desk", preference, "south", tried, millis(now), &mut rng);
+    let choice = pool.choose(
+        "desk",
+        preference,
+        "south",
+        |upstream| !tried.contains(&upstream.id),
+        millis(now),
+        &mut rng,
+    );
     choice.map(|choice| choice.upstream.id.to_string())
 }
 
--- a/crates/lockstep/src/coordinator.rs
+++ b/crates/lockstep/src/coordinator.rs
@@ -150,6 +150,12 @@
         self.epoch.is_some() && self.in_force.is_none()
     }
 
+    /// Returns whether all ranks were seen in a group that serves.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.is_whole() && self.members.values().all(|member| member.sight.is_open)
+    }
+
     /// Returns how the group runs.
     #[must_use]
     pub fn pulse(&self) -> Pulse {
@@ -188,11 +194,13 @@
         if self.epoch != Some(sight.epoch) {
             return;
         }
-        if choices.len() == self.shape.layers * self.shape.experts {
-            if let Some(distance) = self.popularity.add(choices, now) {
-                self.notes.push(Note::Shifted(distance));
-                self.planned_at = Monotonic::ZERO;
-            }
+        let is_whole = choices.len() == self.shape.layers * self.shape.experts;
+        let shift = is_whole
+            .then(|| self.popularity.add(choices, now))
+            .flatten();
+        if let Some(distance) = shift {
+            self.notes.push(Note::Shifted(distance));
+            self.planned_at = Monotonic::ZERO;
         }
         let before = self.members.remove(&sight.rank);
         let held = held.or(before.and_then(|member| member.held));
--- a/crates/lockstep/src/layout.rs
+++ b/crates/lockstep/src/layout.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::real;
+
 /// Published shape of a group's experts.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Shape {
@@ -46,7 +48,7 @@
             .iter()
             .zip(shares)
             .map(|(layer, shares)| layer_skew(layer, shares));
-        skews.sum::<f64>() / self.0.len().max(1) as f64
+        skews.sum::<f64>() / real(self.0.len().max(1))
     }
 
     /// Returns how many experts each rank gets that it does not hold in `before`, over all layers.
@@ -75,5 +77,5 @@
     let loads = layer.iter().map(|held| held.iter().map(part).sum::<f64>());
     let slowest = loads.fold(0.0, f64::max);
     let sum: f64 = shares.iter().sum();
-    slowest * layer.len() as f64 / sum.max(f64::EPSILON)
+    slowest * real(layer.len()) / sum.max(f64::EPSILON)
 }
--- a/crates/lockstep/src/lib.rs
+++ b/crates/lockstep/src/lib.rs
@@ -16,3 +16,8 @@
 pub mod sight;
 
 pub use coordinator::Coordinator;
+
+/// Returns a small count as a number to reckon with.
+pub(crate) fn real(count: usize) -> f64 {
+    u32::try_from(count).map_or(f64::MAX, f64::from)
+}
--- a/crates/lockstep/src/message.rs
+++ b/crates/lockstep/src/message.rs
@@ -39,10 +39,25 @@
     pub service: String,
     /// Addresses of the upstreams.
     pub upstreams: Vec<SocketAddr>,
+    /// Addresses of gateways that live, towards other processes.
+    pub gateways: Vec<SocketAddr>,
     /// Shape of the experts, where the service has groups.
     pub shape: Option<Shape>,
 }
 
+/// Word of a lead to gateways: who runs in lock-step, and whether the group serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Service.
+    pub service: String,
+    /// Group.
+    pub group: String,
+    /// Whether it serves.
+    pub is_open: bool,
+    /// Addresses of its engines.
+    pub engines: Vec<SocketAddr>,
+}
+
 /// Word of the sidecar that leads a group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lead {
--- a/crates/lockstep/src/plan.rs
+++ b/crates/lockstep/src/plan.rs
@@ -15,6 +15,7 @@
 
 use crate::layout::Layout;
 use crate::layout::Shape;
+use crate::real;
 
 /// Longest copying on one rank: a popularity that lasts few seconds is over before a longer one pays.
 const LONGEST_COPY: Duration = Duration::from_millis(450);
@@ -61,7 +62,7 @@
             start,
             path,
             taken: 0,
-            mean: sum / ranks.max(1) as f64,
+            mean: sum / real(ranks.max(1)),
         }
     }
 
@@ -77,7 +78,7 @@
             let copies = self.path.points[taken]
                 .loads
                 .saturating_sub(self.path.points[self.taken].loads);
-            ((now - self.skew(taken)) / copies.max(1) as f64, taken)
+            ((now - self.skew(taken)) / real(copies.max(1)), taken)
         });
         gains.max_by(|one, other| one.0.total_cmp(&other.0))
     }
@@ -125,7 +126,7 @@
 
 fn skew(drafts: &[Draft]) -> f64 {
     let sum: f64 = drafts.iter().map(|draft| draft.skew(draft.taken)).sum();
-    sum / drafts.len().max(1) as f64
+    sum / real(drafts.len().max(1))
 }
 
 /// Returns the layer whose next changes pay best, and how many changes it then has.
@@ -136,7 +137,7 @@
         .filter(|(layer, _)| !closed[*layer]);
     let gains = open.filter_map(|(layer, draft)| Some((draft.next()?, layer)));
     let ((gain, taken), layer) = gains.max_by(|one, other| one.0.0.total_cmp(&other.0.0))?;
-    let overall = gain / drafts.len().max(1) as f64;
+    let overall = gain / real(drafts.len().max(1));
     (overall >= LEAST_STEP).then_some((layer, taken))
 }
 
--- a/crates/lockstep/src/popularity.rs
+++ b/crates/lockstep/src/popularity.rs
@@ -9,6 +9,8 @@
 
 use auburnline_core::time::Monotonic;
 
+use crate::real;
+
 /// Time in which a choice fades to a third. Shorter, single long prompts pass for popularity.
 const FADE: Duration = Duration::from_millis(1_500);
 /// Time over which choices are gathered before they are compared with what is known: a report of each
@@ -110,8 +112,3 @@
     });
     layers.collect()
 }
-
-/// Returns a small count as a number to reckon with.
-fn real(count: usize) -> f64 {
-    u32::try_from(count).map_or(f64::MAX, f64::from)
-}
--- a/crates/lockstep/tests/all/explore.rs
+++ b/crates/lockstep/tests/all/explore.rs
@@ -254,7 +254,7 @@
         outcome.states += 1;
         outcome.mixed += usize::from(world.is_mixed());
         outcome.switched += usize::from(world.engines[0].version > 0);
-        if outcome.states % 89 == 0 && !world.is_mixed() {
+        if outcome.states.is_multiple_of(89) && !world.is_mixed() {
             outcome.stuck += usize::from(!world.clone().settles(bounds));
         }
         if outcome.states + queue.len() > most {
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use auburnline_core::hash::stable;
+use auburnline_core::time::Monotonic;
 use auburnline_gateway::neighbour::Beat;
 use auburnline_gateway::neighbour::Datagram;
 use auburnline_gateway::neighbour::MAX_COUNTS;
 use auburnline_gateway::neighbour::PERIOD;
-use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Message;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -18,6 +18,7 @@
 use tokio::time::interval;
 
 use crate::shared::Shared;
+use crate::source::Feed;
 
 /// Largest beat, in bytes: what a datagram carries without being split badly, and more than any
 /// gateway sends.
@@ -25,8 +26,12 @@
 /// Time between two ticks from which on this process counts as having stood still.
 const PAUSE: Duration = Duration::from_secs(1);
 
+/// Beats after which the readers of the store are asked: 0.6 s, so that knowledge stays some seconds younger
+/// than the bound on revocation, and removals are known well within the bound on draining.
+const QUESTION_BEATS: u64 = 2;
+
 /// Sends beats at a steady pace and takes those of others.
-pub(crate) async fn run(shared: Rc<Shared>, socket: UdpSocket) {
+pub(crate) async fn run(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let mut rng = SmallRng::from_os_rng();
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -38,10 +43,10 @@
                 let now = shared.now();
                 tell_pause(&shared, now.saturating_sub(last));
                 last = now;
-                tick(&shared, &socket, &mut rng).await;
+                tick(&shared, &mut rng);
             }
             received = socket.recv_from(&mut bytes) => match received {
-                Ok((length, from)) => hear(&shared, &socket, &bytes[..length], from).await,
+                Ok((length, from)) => hear(&shared, &bytes[..length], from),
                 Err(error) => log::debug!(target: "neighbours", cause = error.to_string().as_str(); "no datagram"),
             }
         }
@@ -55,7 +60,7 @@
     }
 }
 
-async fn tick(shared: &Shared, socket: &UdpSocket, rng: &mut SmallRng) {
+fn tick(shared: &Shared, rng: &mut SmallRng) {
     shared.refresh();
     let changes = shared.expire();
     shared.upstreams_changed(changes);
@@ -67,42 +72,54 @@
         let beat = gateway.roster.beat(counts, now, rng);
         (beat, gateway.roster.targets(now, rng))
     };
-    let Ok(bytes) = postcard::to_stdvec(&Datagram::Beat(beat)) else {
-        log::error!(target: "neighbours", "a beat can't be written");
+    let is_asking = beat.from.beat.is_multiple_of(QUESTION_BEATS);
+    let message = Datagram::Beat(beat);
+    for target in targets {
+        shared.tell(&message, target);
+    }
+    if is_asking {
+        ask(shared, now);
+    }
+}
+
+/// Asks the readers what changed, unless this gateway is one.
+fn ask(shared: &Shared, now: Monotonic) {
+    let mut gateway = shared.gateway();
+    let (readers, is_reader) = gateway.roster.readers(now);
+    if is_reader {
+        return;
+    }
+    let question = gateway.spread.question(now);
+    drop(gateway);
+    let Some(question) = question else {
         return;
     };
-    for target in targets {
-        if let Err(error) = socket.send_to(&bytes, target).await {
-            let cause = error.to_string();
-            log::debug!(target: "neighbours", cause = cause.as_str(); "beat not sent");
-        }
+    for reader in readers {
+        shared.tell(&Datagram::Question(question), reader);
     }
 }
 
-async fn hear(shared: &Shared, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
-    let beat = match postcard::from_bytes(bytes) {
-        Ok(Datagram::Beat(beat)) => beat,
-        Ok(Datagram::Ask(ask)) => return answer(shared, socket, &ask, from).await,
+fn hear(shared: &Rc<Shared>, bytes: &[u8], from: SocketAddr) {
+    match postcard::from_bytes(bytes) {
+        Ok(Datagram::Beat(beat)) => take(shared, beat),
+        Ok(Datagram::Ask(ask)) => {
+            let members = shared.gateway().members(&ask, shared.now());
+            shared.tell(&Message::Members(members), from);
+        }
+        Ok(Datagram::Group(digest)) => {
+            let now = shared.now();
+            if shared.gateway().groups.hear(&digest, now) {
+                let (group, is_open) = (digest.group.as_str(), digest.is_open);
+                log::info!(target: "groups", group, is_open, ranks = digest.engines.len(); "heard");
+            }
+        }
+        Ok(Datagram::Question(question)) => shared.answer(question, from),
+        Ok(Datagram::Answer(answer)) => Feed(Rc::clone(shared)).hear(answer),
         Err(error) => {
             let cause = error.to_string();
-            log::debug!(target: "neighbours", cause = cause.as_str(); "beat not understood");
-            metrics::counter!("auburnline_beats_malformed_total").increment(1);
-            return;
+            log::debug!(target: "neighbours", cause = cause.as_str(); "message not understood");
+            metrics::counter!("auburnline_messages_malformed_total").increment(1);
         }
-    };
-    take(shared, beat);
-}
-
-/// Answers a sidecar.
-async fn answer(shared: &Shared, socket: &UdpSocket, ask: &Ask, from: SocketAddr) {
-    let members = shared.gateway().members(ask);
-    let Ok(bytes) = postcard::to_stdvec(&Message::Members(members)) else {
-        log::error!(target: "neighbours", "an answer can't be written");
-        return;
-    };
-    if let Err(error) = socket.send_to(&bytes, from).await {
-        let cause = error.to_string();
-        log::debug!(target: "neighbours", cause = cause.as_str(); "answer not sent");
     }
 }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -76,6 +76,8 @@
     /// Time from the request to its first event.
     pub(crate) first: Duration,
     pub(crate) longest_pause: Duration,
+    /// Mean pass of its group when it ended.
+    pub(crate) mean_pass: Duration,
 }
 
 /// What became of one send.
@@ -258,14 +260,13 @@
     pub(crate) async fn send(&mut self, after: Option<EventId>, patience: Duration) -> Sent {
         let now = self.shared.now();
         let choice = self.shared.gateway().assign(&self.plan, &self.tried, now);
-        let choice = match choice {
+        let (choice, group) = match choice {
             Ok(choice) => choice,
             Err(refusal) => return Sent::Refused(refusal),
         };
         self.log_send(&choice, after);
         let upstream = choice.upstream;
-        let service = upstream.service.clone();
-        let mut flight = Flight::new(Rc::clone(&self.shared), service, upstream.id.clone());
+        let mut flight = Flight::new(Rc::clone(&self.shared), &upstream, group);
         self.tried.push(upstream.id.clone());
         let client = self.shared.client(&upstream);
         let result = match self.request(&client, &upstream.id, after) {
@@ -406,12 +407,6 @@
         counter!("auburnline_failures_total").increment(1);
     }
 
-    fn mean_pass(&self) -> Option<Duration> {
-        let gateway = self.shared.gateway();
-        let group = gateway.group(&self.plan.service)?;
-        Some(group.mean_pass())
-    }
-
     /// Says in the log how the request ended.
     pub(crate) fn log_answer(&self, status: u16, pace: &Pace) {
         let took = self.shared.now().saturating_sub(self.plan.arrived);
@@ -422,7 +417,7 @@
             events = pace.events,
             first_ms = millis(pace.first),
             longest_pause_ms = millis(pace.longest_pause),
-            mean_pass_ms = self.mean_pass().map_or(0, millis),
+            mean_pass_ms = millis(pace.mean_pass),
             sends = self.sends,
             took_ms = millis(took);
             "answer"
--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -2,9 +2,11 @@
 
 use std::rc::Rc;
 
+use auburnline_core::id::GroupId;
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::route::ServiceId;
 use auburnline_gateway::upstream::Outcome;
+use auburnline_gateway::upstream::Upstream;
 use auburnline_gateway::upstream::UpstreamId;
 
 use crate::shared::Shared;
@@ -13,6 +15,7 @@
 pub(crate) struct Flight {
     shared: Rc<Shared>,
     service: ServiceId,
+    group: GroupId,
     upstream: UpstreamId,
     began: Monotonic,
     outcome: Outcome,
@@ -20,18 +23,24 @@
 
 impl Flight {
     /// Takes over a request that was counted when its upstream was chosen.
-    pub(crate) fn new(shared: Rc<Shared>, service: ServiceId, upstream: UpstreamId) -> Flight {
+    pub(crate) fn new(shared: Rc<Shared>, upstream: &Upstream, group: GroupId) -> Flight {
         let began = shared.now();
         Flight {
             shared,
-            service,
-            upstream,
+            service: upstream.service.clone(),
+            group,
+            upstream: upstream.id.clone(),
             began,
             // A drop without a word is a caller that left.
             outcome: Outcome::Cancelled,
         }
     }
 
+    /// Returns the upstream's group.
+    pub(crate) fn group(&self) -> &GroupId {
+        &self.group
+    }
+
     /// Returns the upstream.
     pub(crate) fn upstream(&self) -> &UpstreamId {
         &self.upstream
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,5 +29,7 @@
 pub use dialect::Verdict;
 pub use run::run;
 pub use settings::Settings;
+pub use source::All;
+pub use source::Change;
 pub use source::Feed;
 pub use source::Source;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -83,6 +83,7 @@
         callers: settings.callers,
         peers: settings.peers,
         is_ready: false,
+        is_cut: false,
     };
     let roster = Roster::new(entry, settings.seeds.clone());
     let domain = settings.failure_domain.as_str().into();
@@ -118,7 +119,8 @@
     metrics: metrics::Handle,
 ) -> io::Result<tokio::task::JoinHandle<()>> {
     let callers = TcpListener::bind(settings.callers).await?;
-    let socket = UdpSocket::bind(settings.peers).await?;
+    let socket = Rc::new(UdpSocket::bind(settings.peers).await?);
+    shared.set_socket(Rc::clone(&socket));
     let site = Rc::new(Site {
         shared: Rc::clone(shared),
         longest: Duration::from_millis(settings.longest_answer_ms),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -1,20 +1,27 @@
 //! What all tasks of a gateway share.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::cell::RefMut;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::Gateway;
+use auburnline_gateway::neighbour::Datagram;
 use auburnline_gateway::route::ServiceId;
+use auburnline_gateway::spread::Question;
+use auburnline_gateway::spread::Revision;
 use auburnline_gateway::upstream;
 use auburnline_gateway::upstream::Upstream;
 use auburnline_gateway::upstream::UpstreamId;
 use auburnline_http::Client;
 use auburnline_http::Timeouts;
+use serde::Serialize;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
@@ -28,6 +35,9 @@
 /// Bound on waits within an exchange that the request's own deadline does not bound sooner.
 const LONGEST: Duration = Duration::from_mins(1);
 
+/// Age of a question after which its sender is told nothing unasked.
+const ASKER_AGE: Duration = Duration::from_secs(3);
+
 /// State of one gateway.
 pub(crate) struct Shared {
     clock: Clock,
@@ -38,6 +48,11 @@
     leaving: watch::Sender<bool>,
     left_at: Cell<Option<Monotonic>>,
     open: Cell<usize>,
+    /// Tells the source that there may be something to read.
+    pub(crate) news: Notify,
+    /// Gateways that asked for changes, and when.
+    askers: RefCell<HashMap<SocketAddr, Monotonic>>,
+    socket: OnceCell<Rc<UdpSocket>>,
 }
 
 impl Shared {
@@ -51,9 +66,63 @@
             leaving: watch::Sender::new(false),
             left_at: Cell::new(None),
             open: Cell::new(0),
+            news: Notify::new(),
+            askers: RefCell::default(),
+            socket: OnceCell::new(),
         }
     }
 
+    /// Sets the socket towards other gateways and sidecars.
+    pub(crate) fn set_socket(&self, socket: Rc<UdpSocket>) {
+        let is_new = self.socket.set(socket).is_ok();
+        debug_assert!(is_new, "the socket is set once");
+    }
+
+    /// Sends a message to another process; one that can't be sent is lost, as on the way.
+    pub(crate) fn tell(&self, message: &impl Serialize, to: SocketAddr) {
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        let Ok(bytes) = postcard::to_stdvec(message) else {
+            log::error!(target: "neighbours", "a message can't be written");
+            return;
+        };
+        if let Err(error) = socket.try_send_to(&bytes, to) {
+            let cause = error.to_string();
+            log::debug!(target: "neighbours", cause = cause.as_str(); "message not sent");
+        }
+    }
+
+    /// Answers another gateway's question what changed.
+    pub(crate) fn answer(&self, question: Question, from: SocketAddr) {
+        let now = self.now();
+        self.askers.borrow_mut().insert(from, now);
+        let gateway = self.gateway();
+        let Some(age) = gateway.knowledge.age(now) else {
+            return;
+        };
+        let answer = gateway.spread.answer(question, age);
+        drop(gateway);
+        if let Some(answer) = answer {
+            self.tell(&Datagram::Answer(answer), from);
+        }
+    }
+
+    /// Tells those who ask what changed after `since`, without waiting for their next question.
+    pub(crate) fn push(&self, since: Revision) {
+        let now = self.now();
+        let mut askers = self.askers.borrow_mut();
+        askers.retain(|_, asked| now.saturating_sub(*asked) < ASKER_AGE);
+        let gateway = self.gateway();
+        let age = gateway.knowledge.age(now).unwrap_or_default();
+        let Some(answer) = gateway.spread.since(since, age) else {
+            return;
+        };
+        drop(gateway);
+        let message = Datagram::Answer(answer);
+        askers.keys().for_each(|asker| self.tell(&message, *asker));
+    }
+
     /// Returns the time.
     pub(crate) fn now(&self) -> Monotonic {
         self.clock.now()
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -1,21 +1,58 @@
-//! What a platform publishes, as it comes in.
+//! What a platform publishes, as it comes in and goes on to other gateways.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::knowledge;
 use auburnline_gateway::route::Table;
+use auburnline_gateway::spread::Answer;
+use auburnline_gateway::spread::Need;
+use auburnline_gateway::spread::Published;
+use auburnline_gateway::spread::Revision;
 use auburnline_gateway::upstream;
 use auburnline_gateway::upstream::Upstream;
+use auburnline_gateway::upstream::UpstreamId;
+use tokio::time::timeout;
 
+use crate::exchange::millis;
 use crate::shared::Shared;
 
+/// Time between two looks whether there is something to read.
+const LOOK: Duration = Duration::from_millis(300);
+/// Time between two tries of a gateway that the store does not answer, while others read for it.
+const PROBE: Duration = Duration::from_secs(2);
+/// Age of knowledge up to which a failed call alone is no loss: others read for this gateway.
+const STILL_TOLD: Duration = Duration::from_millis(2_500);
+
 /// Reader of what a platform publishes; runs until the process ends.
 pub trait Source {
     /// Reads and passes on what is published.
     fn run(self, feed: Feed) -> impl Future<Output = ()>;
 }
 
+/// One change, as a source reads it.
+#[derive(Debug)]
+pub enum Change {
+    /// An upstream was written.
+    Upstream(Upstream),
+    /// An upstream was removed.
+    Missing(UpstreamId),
+    /// A configuration was written; none if it can't be understood.
+    Configuration(Option<Table>),
+}
+
+/// All that is published.
+#[derive(Debug)]
+pub struct All {
+    /// Revision before which nothing is missing.
+    pub revision: Revision,
+    /// Upstreams.
+    pub upstreams: Vec<Upstream>,
+    /// Configuration with the revision at which it was written.
+    pub configuration: Option<(Revision, Table)>,
+}
+
 /// Where a source puts what it reads.
 #[derive(Clone)]
 pub struct Feed(pub(crate) Rc<Shared>);
@@ -27,29 +64,127 @@
         self.0.now()
     }
 
-    /// Takes that a question asked at `asked` was answered, so that nothing older is unknown.
-    pub fn confirm(&self, asked: Monotonic) {
-        let now = self.0.now();
-        let change = self.0.gateway().knowledge.confirm(asked, now);
+    /// Waits until there is something to read, and says what.
+    pub async fn need(&self) -> Need {
+        let mut waited = Duration::ZERO;
+        loop {
+            let need = self.0.gateway().need(self.now());
+            if need != Need::Nothing {
+                return need;
+            }
+            if waited >= PROBE && self.0.gateway().roster.is_cut() {
+                let revision = self.0.gateway().spread.revision();
+                return revision.map_or(Need::All, Need::Changes);
+            }
+            let _ = timeout(LOOK, self.0.news.notified()).await;
+            waited += LOOK;
+        }
+    }
+
+    /// Takes all that is published, as asked for at `asked`.
+    pub fn all(&self, all: All, asked: Monotonic) {
+        let now = self.now();
+        let written = all
+            .configuration
+            .as_ref()
+            .map_or(0, |(revision, _)| *revision);
+        if let Some((_, table)) = all.configuration {
+            self.table(table);
+        }
+        let mut gateway = self.0.gateway();
+        gateway.spread.read_all(all.revision, written);
+        let changes = gateway.pool.replace(all.upstreams, now);
+        drop(gateway);
+        self.0.upstreams_changed(changes);
+        self.confirm(asked);
+        self.expire();
+    }
+
+    /// Takes a configuration written at `revision`.
+    pub fn configuration(&self, revision: Revision, table: Option<Table>) {
+        if let Some(table) = table {
+            self.table(table);
+        }
+        self.0.gateway().spread.read_configuration(revision);
+    }
+
+    /// Takes changes up to `until`, as asked for at `asked`, and tells others.
+    pub fn changes(&self, changes: Vec<(Revision, Change)>, until: Revision, asked: Monotonic) {
+        let since = self.0.gateway().spread.revision().unwrap_or(0);
+        let mut published = Vec::with_capacity(changes.len());
+        for (revision, change) in changes {
+            let change = match change {
+                Change::Upstream(upstream) => Published::Upstream(upstream),
+                Change::Missing(id) => Published::Missing(id),
+                Change::Configuration(table) => {
+                    self.configuration(revision, table);
+                    Published::Configuration
+                }
+            };
+            published.push((revision, change));
+        }
+        let is_news = !published.is_empty();
+        let new = self.0.gateway().spread.take(published, until);
+        self.confirm(asked);
+        self.apply(new);
+        if is_news {
+            self.0.push(since);
+        }
+    }
+
+    /// Takes that the changes after the known revision are gone.
+    pub fn forget(&self) {
+        log::info!(target: "store", "history gone, reading all anew");
+        self.0.gateway().spread.forget();
+    }
+
+    /// Takes the answer of another gateway that reads the store.
+    pub(crate) fn hear(&self, answer: Answer) {
+        let (new, known_at) = self.0.gateway().spread.hear(answer);
+        if let Some(known_at) = known_at {
+            self.know(known_at);
+        }
+        self.apply(new);
+        self.0.news.notify_one();
+    }
+
+    /// Takes that a question asked at `asked` was answered by the store.
+    fn confirm(&self, asked: Monotonic) {
+        self.0.gateway().roster.set_cut(false);
+        self.know(asked);
+    }
+
+    /// Takes that nothing older than `known_at` is unknown.
+    fn know(&self, known_at: Monotonic) {
+        let now = self.now();
+        let change = self.0.gateway().knowledge.confirm(known_at, now);
         if change == knowledge::Change::Regained {
-            log::info!(target: "store", age_ms = crate::exchange::millis(now.saturating_sub(asked)); "regained");
+            let age_ms = millis(now.saturating_sub(known_at));
+            log::info!(target: "store", age_ms; "regained");
         }
         self.0.refresh();
     }
 
-    /// Takes that a question had no answer.
+    /// Takes that a question to the store had no answer.
     pub fn miss(&self, cause: &str) {
+        metrics::counter!("auburnline_store_failures_total").increment(1);
+        let now = self.now();
         let mut gateway = self.0.gateway();
-        if gateway.knowledge.miss() == knowledge::Change::Lost {
-            let age = gateway.knowledge.age(self.0.now()).unwrap_or_default();
-            log::warn!(target: "store", cause, age_ms = crate::exchange::millis(age); "lost");
+        let was_cut = gateway.roster.is_cut();
+        gateway.roster.set_cut(true);
+        let age = gateway.knowledge.age(now);
+        let is_told = age.is_some_and(|age| age < STILL_TOLD);
+        if !is_told {
+            gateway.knowledge.miss();
         }
         drop(gateway);
-        metrics::counter!("auburnline_store_failures_total").increment(1);
+        if !was_cut {
+            let age_ms = millis(age.unwrap_or_default());
+            log::warn!(target: "store", cause, age_ms, is_told; "lost");
+        }
     }
 
-    /// Takes a configuration.
-    pub fn table(&self, table: Table) {
+    fn table(&self, table: Table) {
         let version = table.version();
         let mut gateway = self.0.gateway();
         let before = gateway.version();
@@ -61,23 +196,19 @@
         self.0.refresh();
     }
 
-    /// Takes an upstream as written to the list.
-    pub fn upstream(&self, upstream: Upstream) {
-        let change = self.0.gateway().pool.insert(upstream);
-        self.0.upstreams_changed(change.into_iter().collect());
-    }
-
-    /// Takes the whole list of upstreams.
-    pub fn upstreams(&self, upstreams: Vec<Upstream>) {
-        let now = self.0.now();
-        let changes = self.0.gateway().pool.replace(upstreams, now);
-        self.0.upstreams_changed(changes);
-        self.expire();
-    }
-
-    /// Takes that an upstream was removed from the list.
-    pub fn missing(&self, id: &str) {
-        self.0.gateway().pool.miss(id, self.0.now());
+    fn apply(&self, changes: Vec<Published>) {
+        let now = self.now();
+        let mut news = Vec::new();
+        let mut gateway = self.0.gateway();
+        for change in changes {
+            match change {
+                Published::Upstream(upstream) => news.extend(gateway.pool.insert(upstream)),
+                Published::Missing(id) => gateway.pool.miss(&id, now),
+                Published::Configuration => {}
+            }
+        }
+        drop(gateway);
+        self.0.upstreams_changed(news);
         self.expire();
     }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -9,6 +9,7 @@
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::event::EventId;
 use auburnline_gateway::event::Splitter;
+use auburnline_gateway::pace::Group;
 use auburnline_http::Body as Incoming;
 use bytes::Bytes;
 use futures::StreamExt as _;
@@ -161,7 +162,8 @@
                 let pause = now.saturating_sub(last);
                 self.pace.longest_pause = self.pace.longest_pause.max(pause);
                 histogram!("auburnline_pause_seconds").record(pause);
-                self.exchange.shared.gateway().observe(plan, pause, now);
+                let mut gateway = self.exchange.shared.gateway();
+                gateway.observe(plan, self.flight.group(), pause, now);
             }
         }
     }
@@ -201,7 +203,11 @@
         self.exchange.left()
     }
 
-    fn log(&self, outcome: &'static str) {
+    fn log(&mut self, outcome: &'static str) {
+        let gateway = self.exchange.shared.gateway();
+        let pace = gateway.pace(self.flight.group());
+        self.pace.mean_pass = pace.map(Group::mean_pass).unwrap_or_default();
+        drop(gateway);
         let status = if outcome == "complete" { 200 } else { 0 };
         self.exchange.log_answer(status, &self.pace);
     }
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -11,11 +11,15 @@
 use auburnline_lockstep::coordinator::Note;
 use auburnline_lockstep::coordinator::Send;
 use auburnline_lockstep::layout::Shape;
+use auburnline_lockstep::message::Digest;
+use auburnline_lockstep::message::Members;
 use auburnline_lockstep::message::Show;
 
 /// Time between two questions who serves the service.
 pub(crate) const ASK_PERIOD: Duration = Duration::from_secs(2);
 
+/// Time between two words to gateways: several within the time for which they believe one.
+const DIGEST_PERIOD: Duration = Duration::from_millis(600);
 /// Time between two lines that tell how the group runs.
 const PULSE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -27,6 +31,8 @@
     addresses: BTreeMap<Rank, SocketAddr>,
     told_at: Monotonic,
     told_step: Step,
+    digested_at: Monotonic,
+    was_open: bool,
 }
 
 impl Lead {
@@ -38,6 +44,8 @@
             addresses: BTreeMap::new(),
             told_at: now,
             told_step: 0,
+            digested_at: Monotonic::ZERO,
+            was_open: false,
         }
     }
 
@@ -56,6 +64,33 @@
         self.addresses.get(&rank).copied()
     }
 
+    /// Returns what to tell gateways if it is time for it: the group's ranks and whether it serves.
+    pub(crate) fn digest(
+        &mut self,
+        members: &Members,
+        own: SocketAddr,
+        now: Monotonic,
+    ) -> Option<Digest> {
+        let is_open = self.coordinator.is_open();
+        let is_due = now.saturating_sub(self.digested_at) >= DIGEST_PERIOD;
+        if !is_due && is_open == self.was_open {
+            return None;
+        }
+        self.digested_at = now;
+        self.was_open = is_open;
+        let sidecars: Vec<_> = self.addresses.values().chain([&own]).collect();
+        let is_ours = |engine: &&SocketAddr| {
+            let mut sidecars = sidecars.iter();
+            sidecars.any(|sidecar| sidecar.ip() == engine.ip())
+        };
+        Some(Digest {
+            service: members.service.clone(),
+            group: self.group.clone(),
+            is_open,
+            engines: members.upstreams.iter().filter(is_ours).copied().collect(),
+        })
+    }
+
     /// Takes the state of a rank.
     pub(crate) fn see(&mut self, show: Show, from: Option<SocketAddr>, now: Monotonic) {
         if show.group != self.group {
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -14,6 +14,7 @@
 use auburnline_lockstep::layout::Layout;
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Command;
+use auburnline_lockstep::message::Digest;
 use auburnline_lockstep::message::Lead as LeadWord;
 use auburnline_lockstep::message::Members;
 use auburnline_lockstep::message::Message;
@@ -234,7 +235,11 @@
         };
         lead.see(show, None, now);
         lead.tell_pulse(now);
+        let members = self.members.as_ref();
+        let own = self.settings.peers;
+        let digest = members.and_then(|members| lead.digest(members, own, now));
         self.announce(&word).await;
+        self.tell_gateways(digest).await;
         self.step().await;
     }
 
@@ -270,6 +275,16 @@
         }
     }
 
+    async fn tell_gateways(&self, digest: Option<Digest>) {
+        let (Some(digest), Some(members)) = (digest, &self.members) else {
+            return;
+        };
+        let message = Datagram::Group(digest);
+        for gateway in &members.gateways {
+            self.tell(&message, *gateway).await;
+        }
+    }
+
     /// Gives the orders that are due.
     async fn step(&mut self) {
         let now = self.clock.now();
