--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -223,7 +223,7 @@
 
 /// Returns the readers among the gateways of one failure domain that live and reach the store.
 #[must_use]
-pub fn readers<'a>(mut able: Vec<&'a Entry>) -> Vec<&'a Entry> {
+pub fn readers(mut able: Vec<&Entry>) -> Vec<&Entry> {
     if able.len() > ALL_READ {
         able.sort_by_key(|entry| std::cmp::Reverse(rendezvous("readers", &entry.instance)));
         able.truncate(READERS);
--- a/crates/lockstep/tests/all/plan.rs
+++ b/crates/lockstep/tests/all/plan.rs
@@ -56,8 +56,9 @@
             assert_that!(held.len(), le(SHAPE.places));
             let new = held.iter().filter(|expert| !had.contains(expert)).count();
             assert_that!(new, le(SHAPE.most_new));
-            held.iter()
-                .for_each(|expert| found[usize::from(*expert)] = true);
+            for expert in held {
+                found[usize::from(*expert)] = true;
+            }
         }
         assert_that!(found, not(contains(eq(&false))));
     }
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -105,13 +105,13 @@
 
     /// Tells how the group runs, once a while.
     pub(crate) fn tell_pulse(&mut self, now: Monotonic) {
-        let passed = now.saturating_sub(self.told_at);
-        if passed < PULSE_PERIOD {
+        let since = now.saturating_sub(self.told_at);
+        if since < PULSE_PERIOD {
             return;
         }
         let pulse = self.coordinator.pulse();
         let passes = pulse.step.saturating_sub(self.told_step);
-        let pass = passed.checked_div(u32::try_from(passes).unwrap_or(0));
+        let pass = since.checked_div(u32::try_from(passes).unwrap_or(0));
         self.told_at = now;
         self.told_step = pulse.step;
         log::info!(
