--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -52,6 +52,15 @@
 /// Shortest and longest time to come back after a refusal for load: a wave of callers that all come
 /// back at once would be refused again, so returns are spread over about the life of a stream.
 const RETURNS: (f64, f64) = (0.2, 1.0);
+/// Times that a group may take to form for which a request waits while all groups are shut. After a
+/// restart of all instances engines are back within about two of them; one that is shut for longer has
+/// lost a rank, and nobody knows when that is back.
+const REFORM_FORMS: f64 = 2.0;
+/// Time between two looks whether a group is open again.
+const REFORM_LOOK: Duration = Duration::from_millis(100);
+/// Shortest and longest time in seconds to come back when all groups are shut for longer: ranks that
+/// crash are back after some seconds, and callers come back once only.
+const SHUT_RETURNS: (f64, f64) = (1.2, 2.4);
 /// Time to come back when no upstream takes work: a group forms anew within about a second.
 const NO_UPSTREAM_RETURN: Duration = Duration::from_millis(800);
 /// Time to come back to a gateway that knows too little: the caller finds another one.
@@ -322,8 +331,7 @@
             return Admission::Go(None);
         };
         let Some((_, load, prediction)) = self.roomy(&plan.service, &engine, longest, now) else {
-            let refusal = Refusal::of(ErrorKind::Unreachable, "all groups are shut");
-            return Admission::Refuse(refusal.after(NO_UPSTREAM_RETURN));
+            return self.await_reform(plan, &engine, now);
         };
         if f64::from(load.in_flight) < prediction.most {
             return Admission::Go(Some(prediction));
@@ -338,6 +346,19 @@
         Admission::Refuse(refusal.after(Duration::from_secs_f64(after)))
     }
 
+    /// Decides on a request while all groups are shut: a group that shut just now may form anew at once.
+    fn await_reform(&mut self, plan: &Plan, engine: &Engine, now: Monotonic) -> Admission {
+        let reform = engine.form.mul_f64(REFORM_FORMS);
+        let shut_since = self.groups.shut_since().unwrap_or(plan.arrived);
+        let until = (shut_since + reform).min(plan.arrived + reform);
+        if now < until {
+            return Admission::Wait(until.min(now + REFORM_LOOK));
+        }
+        let refusal = Refusal::of(ErrorKind::Unreachable, "all groups are shut");
+        let after = self.rng.random_range(SHUT_RETURNS.0..SHUT_RETURNS.1);
+        Admission::Refuse(refusal.after(Duration::from_secs_f64(after)))
+    }
+
     /// Returns the load of each open group of a service.
     fn loads(&self, service: &str, now: Monotonic) -> BTreeMap<GroupId, Load> {
         let mut loads: BTreeMap<GroupId, Load> = BTreeMap::new();
@@ -479,6 +500,17 @@
             .choose(&plan.service, preference, domain, may_take, now, rng)
     }
 
+    /// Takes that an upstream refused a request, unrun. One that had a place for it belongs to a group that
+    /// is shut.
+    pub fn refused(&mut self, plan: &Plan, id: &str, group: &GroupId, now: Monotonic) {
+        let mut loads = self.pool.loads(&plan.service);
+        let load = loads.find(|(upstream, _)| *upstream.id == *id);
+        let had_place = load.is_some_and(|(upstream, in_flight)| in_flight <= upstream.slots);
+        if plan.engine.is_some() && had_place {
+            self.groups.suspect(group, now);
+        }
+    }
+
     /// Takes how a send ended.
     pub fn end(&mut self, id: &str, outcome: Outcome, now: Monotonic) {
         self.pool.end(id, outcome, now);
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -14,6 +14,9 @@
 /// Age from which on the word that a group is shut is not believed: the lead may have died since, and
 /// a group forms anew within about a second.
 const SHUT_AGE: Duration = Duration::from_secs(2);
+/// Time for which a group counts as shut after one of its ranks refused a request although it had a
+/// place: then the next request tries again.
+const SUSPECT_AGE: Duration = Duration::from_millis(250);
 /// Groups that are remembered at most.
 const MOST: usize = 1_024;
 
@@ -28,6 +31,9 @@
 pub struct Groups {
     by_address: HashMap<SocketAddr, GroupId>,
     states: HashMap<GroupId, State>,
+    suspects: HashMap<GroupId, Monotonic>,
+    /// Since when groups have been shut.
+    shut: HashMap<GroupId, Monotonic>,
 }
 
 impl Groups {
@@ -40,6 +46,11 @@
         }
         let is_open = digest.is_open;
         let heard = now;
+        if is_open {
+            self.trust(&digest.group);
+        } else {
+            self.shut.entry(group.clone()).or_insert(now);
+        }
         let before = self.states.insert(group.clone(), State { is_open, heard });
         self.by_address.retain(|_, of| *of != group);
         let engines = digest.engines.iter();
@@ -54,10 +65,31 @@
         self.by_address.get(&address)
     }
 
-    /// Returns whether a group was lately said to be shut.
+    /// Takes that a rank of a group refused a request although it had a place.
+    pub fn suspect(&mut self, group: &GroupId, now: Monotonic) {
+        self.suspects.insert(group.clone(), now);
+        self.shut.entry(group.clone()).or_insert(now);
+    }
+
+    /// Takes that a rank of a group answered.
+    pub fn trust(&mut self, group: &str) {
+        self.suspects.remove(group);
+        self.shut.remove(group);
+    }
+
+    /// Returns whether a group was lately said or seen to be shut.
     #[must_use]
     pub fn is_shut(&self, group: &str, now: Monotonic) -> bool {
         let state = self.states.get(group);
-        state.is_some_and(|state| !state.is_open && now.saturating_sub(state.heard) < SHUT_AGE)
+        let is_said =
+            state.is_some_and(|state| !state.is_open && now.saturating_sub(state.heard) < SHUT_AGE);
+        let suspected = self.suspects.get(group);
+        is_said || suspected.is_some_and(|at| now.saturating_sub(*at) < SUSPECT_AGE)
+    }
+
+    /// Returns since when the group that shut last has been so; none if none has.
+    #[must_use]
+    pub fn shut_since(&self) -> Option<Monotonic> {
+        self.shut.values().max().copied()
     }
 }
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -166,8 +166,10 @@
     pub fn readers(&self, now: Monotonic) -> (Vec<SocketAddr>, bool) {
         let live = self.others.values().filter(|known| known.lives(now));
         let all = live.map(|known| &known.entry).chain([&self.me]);
-        let able =
-            all.filter(|entry| entry.failure_domain == self.me.failure_domain && !entry.is_cut);
+        // One that the store turns away goes on with what others know, wherever they are.
+        let is_near =
+            |entry: &Entry| self.me.is_cut || entry.failure_domain == self.me.failure_domain;
+        let able = all.filter(|entry| !entry.is_cut && is_near(entry));
         let readers = spread::readers(able.collect());
         let is_reader = readers
             .iter()
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -190,7 +190,7 @@
         let changes: Vec<_> = later.take(TOLD).cloned().collect();
         let is_cut = changes.len() == TOLD;
         let last = changes.last().map_or(known, |(revision, _)| *revision);
-        let until = if is_cut { last } else { known.max(since) };
+        let until = if is_cut { last } else { known };
         Some(Answer {
             number: None,
             since,
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -144,6 +144,47 @@
     );
 }
 
+/// Pattern: all instances lose power and start again; engines take requests before their group has formed,
+/// and refuse them. A caller comes back once only, so a refusal then costs it the answer.
+#[gtest]
+fn a_request_waits_for_a_group_that_shut_just_now_and_no_longer_than_forming_takes() {
+    let mut gateway = gateway(12);
+    let plan = ask(&mut gateway, "/draft/", Some("key-1"), 1_000).expect("a plan");
+    let (choice, group) = gateway
+        .assign(&plan, &[], millis(1_000))
+        .expect("an upstream");
+    gateway.refused(&plan, &choice.upstream.id, &group, millis(1_010));
+    gateway.end(&choice.upstream.id, Outcome::Refused, millis(1_010));
+    let waits = gateway.admit(&plan, millis(1_010));
+    assert_that!(waits, matches_pattern!(Admission::Wait(le(millis(1_110)))));
+    // The group is tried again now and then.
+    assert_that!(
+        gateway.admit(&plan, millis(1_300)),
+        matches_pattern!(Admission::Go(anything()))
+    );
+    for tick in 0..10 {
+        let now = millis(1_300 + tick * 200);
+        gateway.refused(&plan, &choice.upstream.id, &group, now);
+    }
+    let refused = gateway.admit(&plan, millis(3_150));
+    assert_that!(refused, matches_pattern!(Admission::Refuse(anything())));
+    gateway.groups.trust(&group);
+    assert_that!(
+        gateway.admit(&plan, millis(3_150)),
+        matches_pattern!(Admission::Go(anything()))
+    );
+}
+
+/// A rank that is full refuses, and its group serves on.
+#[gtest]
+fn a_full_rank_does_not_shut_its_group() {
+    let mut gateway = gateway(2);
+    let plan = ask(&mut gateway, "/draft/", Some("key-1"), 1_000).expect("a plan");
+    (0..13).for_each(|_| gateway.pool.begin("rank-0"));
+    gateway.refused(&plan, "rank-0", &"model".into(), millis(1_010));
+    assert_that!(gateway.groups.is_shut("model", millis(1_010)), eq(false));
+}
+
 #[gtest]
 fn what_nobody_can_serve_is_refused_at_once() {
     let mut gateway = gateway(0);
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -2,9 +2,11 @@
 
 mod event;
 mod gateway;
+mod group;
 mod knowledge;
 mod neighbour;
 mod pace;
 mod route;
+mod spread;
 mod support;
 mod upstream;
--- a/crates/gateway/tests/all/neighbour.rs
+++ b/crates/gateway/tests/all/neighbour.rs
@@ -95,6 +95,21 @@
     assert_that!(roster.live(millis(4_100)), eq(2));
 }
 
+/// Pattern: the store turns some instances away and serves the others.
+#[gtest]
+fn a_gateway_that_the_store_turns_away_asks_others_wherever_they_are() {
+    let mut roster = roster();
+    let mut far = entry("b", 1, 9, true);
+    far.failure_domain = "south".into();
+    let far_address = far.peers;
+    roster.hear(&beat(far, Vec::new()), millis(0));
+    let (readers, is_reader) = roster.readers(millis(0));
+    assert_that!((readers, is_reader), eq(&(Vec::new(), true)));
+    roster.set_cut(true);
+    let (readers, is_reader) = roster.readers(millis(0));
+    assert_that!((readers, is_reader), eq(&(vec![far_address], false)));
+}
+
 #[gtest]
 fn a_beat_costs_no_more_in_a_larger_fleet() {
     let mut roster = roster();
--- /dev/null
+++ b/crates/gateway/tests/all/spread.rs
@@ -0,0 +1,119 @@
+//! Who reads the store, and how others learn of it.
+
+use auburnline_gateway::spread::Need;
+use auburnline_gateway::spread::Published;
+use auburnline_gateway::spread::Spread;
+use auburnline_gateway::upstream::State;
+use googletest::prelude::*;
+
+use crate::support::millis;
+use crate::support::upstream;
+
+fn change(id: &str) -> Published {
+    Published::Upstream(upstream(id, "desk", State::Ready))
+}
+
+/// Returns the state of a gateway that read all as of revision 10.
+fn spread() -> Spread {
+    let mut spread = Spread::default();
+    spread.read_all(10, 3);
+    spread
+}
+
+#[gtest]
+fn all_is_read_first_and_again_when_the_history_is_gone() {
+    let mut spread = Spread::default();
+    assert_that!(spread.need(false), eq(Need::All));
+    spread.read_all(10, 3);
+    assert_that!(spread.need(false), eq(Need::Nothing));
+    assert_that!(spread.need(true), eq(Need::Changes(10)));
+    spread.forget();
+    assert_that!(spread.need(false), eq(Need::All));
+}
+
+#[gtest]
+fn one_that_asks_gets_what_changed_since_and_knows_as_of_its_question() {
+    let (mut reader, mut asker) = (spread(), spread());
+    reader.take(vec![(11, change("a")), (12, change("b"))], 12);
+    let question = asker.question(millis(5_000)).expect("a question");
+    let answer = reader.answer(question, millis(800)).expect("an answer");
+    let (new, known_at) = asker.hear(answer);
+    assert_that!(new, len(eq(2)));
+    assert_that!(known_at, some(eq(millis(4_200))));
+    assert_that!(asker.revision(), some(eq(12)));
+}
+
+/// Pattern: a message is held up on its way for seconds. It must not make old knowledge look young.
+#[gtest]
+fn an_answer_to_another_question_confirms_nothing() {
+    let (reader, mut asker) = (spread(), spread());
+    let question = asker.question(millis(1_000)).expect("a question");
+    let late = reader.answer(question, millis(0)).expect("an answer");
+    asker.question(millis(9_000)).expect("a question");
+    let (_, known_at) = asker.hear(late);
+    assert_that!(known_at, none());
+}
+
+#[gtest]
+fn what_is_told_unasked_is_taken_but_confirms_nothing() {
+    let (mut reader, mut asker) = (spread(), spread());
+    reader.take(vec![(11, change("a"))], 11);
+    let told = reader.since(10, millis(0)).expect("an answer");
+    let (new, known_at) = asker.hear(told);
+    assert_that!(new, len(eq(1)));
+    assert_that!(known_at, none());
+}
+
+#[gtest]
+fn a_gap_is_not_passed_over() {
+    let (mut reader, mut asker) = (spread(), spread());
+    reader.take(vec![(11, change("a"))], 11);
+    reader.take(vec![(12, change("b"))], 12);
+    let told = reader.since(11, millis(0)).expect("an answer");
+    let (new, _) = asker.hear(told);
+    assert_that!(new, is_empty());
+    assert_that!(asker.revision(), some(eq(10)));
+}
+
+/// A configuration is read by each gateway for itself; until then its knowledge is not up to date.
+#[gtest]
+fn nothing_is_confirmed_before_a_configuration_that_was_heard_of_is_read() {
+    let (mut reader, mut asker) = (spread(), spread());
+    reader.take(vec![(11, Published::Configuration)], 11);
+    let question = asker.question(millis(1_000)).expect("a question");
+    let (_, known_at) = asker.hear(reader.answer(question, millis(0)).expect("an answer"));
+    assert_that!(known_at, none());
+    assert_that!(asker.need(false), eq(Need::Configuration));
+    asker.read_configuration(11);
+    let question = asker.question(millis(2_000)).expect("a question");
+    let (_, known_at) = asker.hear(reader.answer(question, millis(0)).expect("an answer"));
+    assert_that!(known_at, some(eq(millis(2_000))));
+}
+
+#[gtest]
+fn a_reader_that_knows_less_confirms_nothing() {
+    let (reader, mut asker) = (spread(), spread());
+    asker.take(vec![(14, change("a"))], 14);
+    let question = asker.question(millis(1_000)).expect("a question");
+    let answer = reader.answer(question, millis(0)).expect("an answer");
+    let (new, known_at) = asker.hear(answer);
+    assert_that!(new, is_empty());
+    assert_that!(known_at, none());
+}
+
+#[gtest]
+fn many_changes_come_in_parts_and_none_is_lost() {
+    let (mut reader, mut asker) = (spread(), spread());
+    let changes: Vec<_> = (11..=210)
+        .map(|revision| (revision, change(&revision.to_string())))
+        .collect();
+    reader.take(changes, 210);
+    let mut heard = 0;
+    for _ in 0..10 {
+        let question = asker.question(millis(1_000)).expect("a question");
+        let answer = reader.answer(question, millis(0)).expect("an answer");
+        heard += asker.hear(answer).0.len();
+    }
+    assert_that!(heard, eq(200));
+    assert_that!(asker.revision(), some(eq(210)));
+}
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -10,6 +10,7 @@
 use auburnline_gateway::neighbour::Datagram;
 use auburnline_gateway::neighbour::MAX_COUNTS;
 use auburnline_gateway::neighbour::PERIOD;
+use auburnline_gateway::route::ServiceId;
 use auburnline_lockstep::message::Message;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -108,9 +109,13 @@
         }
         Ok(Datagram::Group(digest)) => {
             let now = shared.now();
-            if shared.gateway().groups.hear(&digest, now) {
+            let is_change = shared.gateway().groups.hear(&digest, now);
+            if is_change {
                 let (group, is_open) = (digest.group.as_str(), digest.is_open);
                 log::info!(target: "groups", group, is_open, ranks = digest.engines.len(); "heard");
+                shared
+                    .place(&ServiceId::from(digest.service.as_str()))
+                    .notify_waiters();
             }
         }
         Ok(Datagram::Question(question)) => shared.answer(question, from),
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -317,6 +317,7 @@
         let dialect = &self.shared.dialect;
         match dialect.verdict(reply.status, &reply.headers, self.id()) {
             Verdict::Answer => {
+                self.shared.gateway().groups.trust(flight.group());
                 self.sends += 1;
                 self.may_have_run = true;
                 Sent::Began(reply, flight)
@@ -325,6 +326,10 @@
                 self.sends += 1;
                 flight.refused();
                 self.log_failure("refused by the upstream, not run", &flight);
+                let now = self.shared.now();
+                let mut gateway = self.shared.gateway();
+                gateway.refused(&self.plan, flight.upstream(), flight.group(), now);
+                drop(gateway);
                 Sent::Failed {
                     may_repeat: self.may_repeat(),
                 }
@@ -349,6 +354,11 @@
         Sent::Failed { may_repeat }
     }
 
+    /// Waits until the request may be sent once more.
+    pub(crate) async fn readmit(&self) -> Result<(), Refusal> {
+        admit(&self.shared, &self.plan, &self.arrival.call).await
+    }
+
     /// Asks for leave to send to one more upstream.
     pub(crate) fn may_repeat(&self) -> bool {
         if self.sends >= self.plan.route.max_attempts || self.left().is_zero() {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -9,6 +9,7 @@
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::event::EventId;
 use auburnline_gateway::event::Splitter;
+use auburnline_gateway::gateway::Refusal;
 use auburnline_gateway::pace::Group;
 use auburnline_http::Body as Incoming;
 use bytes::Bytes;
@@ -69,23 +70,26 @@
                 let passage = Passage::new(exchange, reply.body, flight, after);
                 return head::streamed(status, headers, passage.events());
             }
-            Sent::Failed { may_repeat: true } => {}
-            Sent::Failed { may_repeat: false } => return exchange.give_up("no send succeeded"),
-            Sent::Refused(refusal) => {
-                if exchange.may_have_run {
-                    return exchange.give_up("no upstream is left");
+            Sent::Failed { may_repeat: true } => {
+                if let Err(refusal) = exchange.readmit().await {
+                    return end(&exchange, &refusal);
                 }
-                return refuse(
-                    &exchange.shared,
-                    exchange.id(),
-                    Some(&exchange.plan),
-                    &refusal,
-                );
             }
+            Sent::Failed { may_repeat: false } => return exchange.give_up("no send succeeded"),
+            Sent::Refused(refusal) => return end(&exchange, &refusal),
         }
     }
 }
 
+/// Ends a request that can't be sent again, true to what may have run.
+fn end(exchange: &Exchange, refusal: &Refusal) -> Response<Body> {
+    if exchange.may_have_run {
+        return exchange.give_up("no upstream is left");
+    }
+    let plan = Some(&exchange.plan);
+    refuse(&exchange.shared, exchange.id(), plan, refusal)
+}
+
 impl Passage {
     fn new(exchange: Exchange, body: Incoming, flight: Flight, after: Option<EventId>) -> Passage {
         Passage {
