Let another sidecar stand in for a lead that falls silent while its group is held

A sidecar whose rank stands still with work, and that hears nothing of its lead, looks at all ranks and takes the change forward. What is left is a rank 0 whose instance is frozen with its engine; that is listed as open.

--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -11,6 +11,8 @@
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::coordinator::HOLDER;
 use auburnline_lockstep::coordinator::Send;
+use auburnline_lockstep::deputy;
+use auburnline_lockstep::deputy::Deputy;
 use auburnline_lockstep::layout::Layout;
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Command;
@@ -45,6 +47,13 @@
 /// Largest datagram.
 const MAX_BYTES: usize = 60 << 10;
 
+/// Who leads this sidecar's group.
+struct Leader {
+    address: SocketAddr,
+    heard: Monotonic,
+    word: LeadWord,
+}
+
 /// State of one sidecar.
 pub(crate) struct Sidecar<E> {
     settings: Settings,
@@ -56,8 +65,8 @@
     lead: Option<Lead>,
     members: Option<Members>,
     asked: Option<Monotonic>,
-    /// Who leads, when that was heard, and whether the layout is asked for.
-    leader: Option<(SocketAddr, Monotonic, bool)>,
+    leader: Option<Leader>,
+    deputy: Deputy,
     counts: Counts,
     counted: Option<Monotonic>,
     /// When the rank was looked at last.
@@ -84,6 +93,7 @@
             members: None,
             asked: None,
             leader: None,
+            deputy: Deputy::default(),
             counts: Counts::default(),
             counted: None,
             looked: Monotonic::ZERO,
@@ -194,7 +204,10 @@
     async fn held(&self) -> Option<Vec<Vec<u16>>> {
         let is_asked = match &self.lead {
             Some(lead) => lead.wants_layout(),
-            None => self.leader.is_some_and(|(_, _, wants_layout)| wants_layout),
+            None => {
+                let leader = self.leader.as_ref();
+                leader.is_some_and(|leader| leader.word.wants_layout)
+            }
         };
         if !is_asked {
             return None;
@@ -209,12 +222,56 @@
 
     async fn show(&mut self, show: Show) {
         let now = self.clock.now();
-        let leader = self.leader;
-        let Some((leader, _, _)) = leader.filter(|(_, at, _)| now.saturating_sub(*at) < LEAD_AGE)
-        else {
+        let Some(leader) = &self.leader else {
+            return;
+        };
+        let is_silent = self.deputy.look(&show.sight, leader.heard, now);
+        if is_silent {
+            self.stand_in(now).await;
+            return;
+        }
+        if now.saturating_sub(leader.heard) < LEAD_AGE {
+            self.tell(&Message::Show(show), leader.address).await;
+        }
+    }
+
+    /// Takes a change forward whose lead fell silent.
+    async fn stand_in(&mut self, now: Monotonic) {
+        self.quick_until = now + QUICK;
+        let Some(leader) = &self.leader else {
             return;
         };
-        self.tell(&Message::Show(show), leader).await;
+        let (epoch, engines) = (leader.word.epoch, leader.word.engines.clone());
+        let mut seen = Vec::with_capacity(engines.len());
+        for engine in engines {
+            let engine = self.engine.at(engine);
+            match engine.report().await {
+                Ok(report) if Some(&report.group) == self.group.as_ref() => {
+                    seen.push((report.sight, engine));
+                }
+                Ok(_) => {}
+                // It may be one that left; whether all ranks were seen is asked below.
+                Err(failure) => {
+                    let cause = failure.to_string();
+                    log::debug!(target: "engine", cause = cause.as_str(); "not seen while standing in");
+                }
+            }
+        }
+        let sights: Vec<_> = seen.iter().map(|(sight, _)| sight).collect();
+        let is_whole = sights
+            .first()
+            .is_some_and(|first| usize::from(first.size) == sights.len());
+        if !is_whole {
+            return;
+        }
+        for (rank, order) in deputy::orders(&sights) {
+            let found = seen.iter().find(|(sight, _)| sight.rank == rank);
+            if let Some((_, engine)) = found {
+                let reply = engine.order(epoch, order, None).await;
+                log::info!(target: "engine", epoch, rank, order:?, reply:?; "order while standing in");
+                metrics::counter!("auburnline_stand_in_orders_total").increment(1);
+            }
+        }
     }
 
     async fn lead(&mut self, show: Show) {
@@ -232,6 +289,9 @@
             group: show.group.clone(),
             epoch: show.sight.epoch,
             wants_layout: lead.wants_layout(),
+            engines: self.members.as_ref().map_or_else(Vec::new, |members| {
+                lead.engines(members, self.settings.peers)
+            }),
         };
         lead.see(show, None, now);
         lead.tell_pulse(now);
@@ -347,7 +407,11 @@
             }
             Message::Lead(word) => {
                 if self.group.as_ref() == Some(&word.group) {
-                    self.leader = Some((from, now, word.wants_layout));
+                    self.leader = Some(Leader {
+                        address: from,
+                        heard: now,
+                        word,
+                    });
                 }
             }
             Message::Show(show) => {
