--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -42,6 +42,8 @@
 const QUICK_PERIOD: Duration = Duration::from_millis(40);
 /// Time for which looks stay quick after an order.
 const QUICK: Duration = Duration::from_millis(200);
+/// Times that an order without answer is given: where one in ten gets lost, one in a thousand does then.
+const TRIES: usize = 3;
 /// Age at which the word of the one that leads is forgotten.
 const LEAD_AGE: Duration = Duration::from_secs(3);
 /// Largest datagram.
@@ -376,8 +378,16 @@
         self.tell(&Message::Command(command), address).await;
     }
 
-    /// Gives an order to the own rank.
+    /// Gives an order to the own rank, and again if it gets no answer: each may be repeated without harm.
     async fn order(&mut self, epoch: Epoch, order: Order, layout: Option<&Layout>) {
+        for _ in 0..TRIES {
+            if self.try_order(epoch, order, layout).await {
+                return;
+            }
+        }
+    }
+
+    async fn try_order(&self, epoch: Epoch, order: Order, layout: Option<&Layout>) -> bool {
         let reply = self.engine.order(epoch, order, layout).await;
         log::info!(target: "engine", epoch, order:?, reply:?; "order");
         let outcome = if reply.is_ok() {
@@ -386,6 +396,7 @@
             "unanswered"
         };
         metrics::counter!("auburnline_orders_total", "outcome" => outcome).increment(1);
+        reply.is_ok()
     }
 
     async fn hear(&mut self, bytes: &[u8], from: SocketAddr) {
