--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod decisions;
 pub mod logging;
 pub mod metrics;
+pub mod program;
 pub mod ring;
 pub mod scrape;
 pub mod thread;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,13 +9,16 @@
 //! [`gateway`] joins them. Nothing here sends, reads a clock or knows how a platform spells its
 //! messages.
 
+mod admission;
 pub mod event;
 pub mod gateway;
 pub mod group;
 pub mod knowledge;
 pub mod neighbour;
 pub mod pace;
+pub mod request;
 pub mod route;
+mod share;
 pub mod spread;
 pub mod upstream;
 
--- /dev/null
+++ b/crates/gateway/src/request.rs
@@ -0,0 +1,89 @@
+//! One request on its way through the decisions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnline_core::error::Kind as ErrorKind;
+use auburnline_core::time::Monotonic;
+
+use crate::pace::Prediction;
+use crate::route::Engine;
+use crate::route::Route;
+use crate::route::ServiceId;
+use crate::route::Workspace;
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Host.
+    pub host: &'a str,
+    /// Path without query.
+    pub path: &'a str,
+    /// Key.
+    pub key: Option<&'a str>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+}
+
+/// How a request may be served.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Route.
+    pub route: Arc<Route>,
+    /// Service.
+    pub service: ServiceId,
+    /// Cost model, where the service is a group of ranks.
+    pub engine: Option<Engine>,
+    /// Holder of the key.
+    pub workspace: Option<Arc<Workspace>>,
+    /// Version of the configuration that decided.
+    pub version: u64,
+    /// Age of what was known.
+    pub age: Duration,
+    /// When the request arrived.
+    pub arrived: Monotonic,
+    /// When the final answer is due.
+    pub due: Monotonic,
+}
+
+/// A request that is not served; none of these has run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refusal {
+    /// Kind of answer.
+    pub kind: ErrorKind,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+    /// Why, for the log.
+    pub reason: &'static str,
+    /// What was predicted, where load decided.
+    pub prediction: Option<Prediction>,
+}
+
+impl Refusal {
+    /// Returns a refusal that tells no time to come back.
+    #[must_use]
+    pub const fn of(kind: ErrorKind, reason: &'static str) -> Refusal {
+        Refusal {
+            kind,
+            retry_after: None,
+            reason,
+            prediction: None,
+        }
+    }
+
+    pub(crate) fn after(mut self, time: Duration) -> Refusal {
+        self.retry_after = Some(time);
+        self
+    }
+}
+
+/// Whether a request may be sent now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Admission {
+    /// It may.
+    Go(Option<Prediction>),
+    /// It may wait for a place until this time.
+    Wait(Monotonic),
+    /// It is refused.
+    Refuse(Refusal),
+}
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -4,13 +4,13 @@
 
 use auburnline_core::error::Kind;
 use auburnline_gateway::Gateway;
-use auburnline_gateway::gateway::Admission;
 use auburnline_gateway::gateway::Bounds;
-use auburnline_gateway::gateway::Plan;
-use auburnline_gateway::gateway::Refusal;
-use auburnline_gateway::gateway::Request;
 use auburnline_gateway::neighbour::Entry;
 use auburnline_gateway::neighbour::Roster;
+use auburnline_gateway::request::Admission;
+use auburnline_gateway::request::Plan;
+use auburnline_gateway::request::Refusal;
+use auburnline_gateway::request::Request;
 use auburnline_gateway::upstream::Outcome;
 use auburnline_gateway::upstream::State;
 use googletest::prelude::*;
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use auburnline_gateway::gateway::Refusal;
+use auburnline_gateway::request::Refusal;
 use auburnline_gateway::route::Kind;
 use auburnline_http::Body as Incoming;
 use auburnline_http::Failure;
@@ -16,11 +16,11 @@
 use tokio::time::timeout;
 
 use crate::exchange::Exchange;
-use crate::exchange::Pace;
 use crate::exchange::Sent;
-use crate::exchange::refuse;
 use crate::head;
 use crate::head::Body;
+use crate::tell::Pace;
+use crate::tell::refuse;
 
 /// Largest answer that is taken whole.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -56,7 +56,7 @@
 
 fn tell_pause(shared: &Shared, gap: Duration) {
     if gap > PAUSE {
-        log::warn!(target: "neighbours", gap_ms = crate::exchange::millis(gap); "stood still");
+        log::warn!(target: "neighbours", gap_ms = crate::tell::millis(gap); "stood still");
         shared.gateway().roster.pause(gap);
     }
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -6,11 +6,10 @@
 use auburnline_core::error::Kind;
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::event::EventId;
-use auburnline_gateway::gateway;
-use auburnline_gateway::gateway::Admission;
-use auburnline_gateway::gateway::Plan;
-use auburnline_gateway::gateway::Refusal;
-use auburnline_gateway::upstream::Choice;
+use auburnline_gateway::request;
+use auburnline_gateway::request::Admission;
+use auburnline_gateway::request::Plan;
+use auburnline_gateway::request::Refusal;
 use auburnline_gateway::upstream::UpstreamId;
 use auburnline_http::Connection;
 use auburnline_http::Failure;
@@ -37,6 +36,8 @@
 use crate::head::Body;
 use crate::shared::Shared;
 use crate::stream;
+use crate::tell::millis;
+use crate::tell::refuse;
 
 /// Bound on a body before a configuration tells one.
 const FIRST_BODY_BYTES: usize = 1 << 20;
@@ -69,17 +70,6 @@
     pub(crate) may_have_run: bool,
 }
 
-/// How a stream's events came.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Pace {
-    pub(crate) events: u64,
-    /// Time from the request to its first event.
-    pub(crate) first: Duration,
-    pub(crate) longest_pause: Duration,
-    /// Mean pass of its group when it ended.
-    pub(crate) mean_pass: Duration,
-}
-
 /// What became of one send.
 pub(crate) enum Sent {
     /// An answer began.
@@ -145,7 +135,7 @@
 }
 
 fn plan(shared: &Shared, call: &Call, path: &str, now: Monotonic) -> Result<Plan, Refusal> {
-    let request = gateway::Request {
+    let request = request::Request {
         host: &call.host,
         path,
         key: call.key.as_deref(),
@@ -181,50 +171,6 @@
     }
 }
 
-/// Answers a request that is not served, and says why in the log.
-pub(crate) fn refuse(
-    shared: &Shared,
-    id: &str,
-    plan: Option<&Plan>,
-    refusal: &Refusal,
-) -> Response<Body> {
-    let kind = refusal.kind;
-    let gateway = shared.gateway();
-    let now = shared.now();
-    let age = gateway.knowledge.age(now).unwrap_or_default();
-    let prediction = refusal.prediction;
-    log::info!(
-        target: "gateway",
-        request = id,
-        route = plan.map_or("", |plan| plan.route.name.as_str()),
-        workspace = workspace(plan),
-        kind = kind.name().as_str(),
-        reason = refusal.reason,
-        retry_after_ms = millis(refusal.retry_after.unwrap_or_default()),
-        waited_ms = plan.map_or(0, |plan| millis(now.saturating_sub(plan.arrived))),
-        in_flight:? = plan.map(|plan| gateway.pool.in_flight(&plan.service)),
-        most:? = prediction.map(|prediction| prediction.most),
-        pass_ms:? = prediction.map(|prediction| millis(prediction.pass)),
-        factor:? = prediction.map(|prediction| prediction.factor),
-        version:? = gateway.version(),
-        age_ms = millis(age);
-        "refuse"
-    );
-    drop(gateway);
-    counter!("auburnline_refusals_total", "kind" => kind.name()).increment(1);
-    head::own(&*shared.dialect, id, kind, refusal.retry_after)
-}
-
-fn workspace(plan: Option<&Plan>) -> &str {
-    let workspace = plan.and_then(|plan| plan.workspace.as_ref());
-    workspace.map_or("", |workspace| &*workspace.name)
-}
-
-/// Returns whole milliseconds, for the log.
-pub(crate) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl Exchange {
     fn new(shared: Rc<Shared>, arrival: Arrival, plan: Plan) -> Exchange {
         Exchange {
@@ -383,56 +329,4 @@
         let refusal = Refusal::of(kind, reason);
         refuse(&self.shared, self.id(), Some(&self.plan), &refusal)
     }
-
-    fn log_send(&self, choice: &Choice, after: Option<EventId>) {
-        log::info!(
-            target: "gateway",
-            request = self.id(),
-            route = self.plan.route.name.as_str(),
-            workspace = workspace(Some(&self.plan)),
-            upstream = &*choice.upstream.id,
-            send = self.sends + 1,
-            after:?,
-            in_flight = choice.in_flight,
-            score = choice.score,
-            candidates = choice.candidates,
-            left_ms = millis(self.left()),
-            version = self.plan.version,
-            age_ms = millis(self.plan.age);
-            "send"
-        );
-        counter!("auburnline_sends_total").increment(1);
-    }
-
-    /// Says in the log why a send has no answer.
-    pub(crate) fn log_failure(&self, cause: &str, flight: &Flight) {
-        log::info!(
-            target: "gateway",
-            request = self.id(),
-            upstream = &**flight.upstream(),
-            cause,
-            left_ms = millis(self.left());
-            "fail"
-        );
-        counter!("auburnline_failures_total").increment(1);
-    }
-
-    /// Says in the log how the request ended.
-    pub(crate) fn log_answer(&self, status: u16, pace: &Pace) {
-        let took = self.shared.now().saturating_sub(self.plan.arrived);
-        log::info!(
-            target: "gateway",
-            request = self.id(),
-            status,
-            events = pace.events,
-            first_ms = millis(pace.first),
-            longest_pause_ms = millis(pace.longest_pause),
-            mean_pass_ms = millis(pace.mean_pass),
-            sends = self.sends,
-            took_ms = millis(took);
-            "answer"
-        );
-        counter!("auburnline_answers_total", "status" => status.to_string()).increment(1);
-        histogram!("auburnline_answer_seconds").record(took);
-    }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod site;
 mod source;
 mod stream;
+mod tell;
 
 pub use clock::Clock;
 pub use dialect::Call;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use auburnline_duty::logging;
 use auburnline_duty::metrics;
+use auburnline_duty::program;
 use auburnline_duty::scrape;
 use auburnline_gateway::Gateway;
 use auburnline_gateway::neighbour::Entry;
@@ -15,7 +15,6 @@
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
-use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -41,8 +40,6 @@
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 /// Part of the descriptors that callers' connections may take; each needs another one upstream.
 const CALLERS_PART: usize = 3;
-/// Decisions kept for operators.
-const DECISIONS: usize = 64;
 
 /// Runs a gateway until it is told to end.
 ///
@@ -55,15 +52,7 @@
     dialect: Rc<dyn Dialect>,
     source: S,
 ) -> io::Result<()> {
-    logging::start_on(DECISIONS, io::stdout())?;
-    let metrics = metrics::install()?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let local = LocalSet::new();
-    let outcome = local.block_on(&runtime, main(settings, path, dialect, source, metrics));
-    log::logger().flush();
-    outcome
+    program::run(|metrics| main(settings, path, dialect, source, metrics))
 }
 
 async fn main<S: Source + 'static>(
@@ -142,7 +131,7 @@
 
 /// Leaves: says so, takes new connections a while longer, and ends once all is answered.
 async fn leave(shared: &Shared, grace: Duration, taking: &tokio::task::JoinHandle<()>) {
-    log::info!(target: "process", open = shared.open(), grace_ms = crate::exchange::millis(grace); "leaving");
+    log::info!(target: "process", open = shared.open(), grace_ms = crate::tell::millis(grace); "leaving");
     shared.leave();
     loop {
         let leaving_for = shared.leaving_for().unwrap_or_default();
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -178,7 +178,7 @@
         if gateway.roster.set_ready(is_ready) {
             let age = gateway.knowledge.age(now).unwrap_or_default();
             let version = gateway.version();
-            log::info!(target: "gateway", is_ready, version:?, age_ms = crate::exchange::millis(age); "readiness");
+            log::info!(target: "gateway", is_ready, version:?, age_ms = crate::tell::millis(age); "readiness");
         }
     }
 
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -15,8 +15,8 @@
 use auburnline_gateway::upstream::UpstreamId;
 use tokio::time::timeout;
 
-use crate::exchange::millis;
 use crate::shared::Shared;
+use crate::tell::millis;
 
 /// Time between two looks whether there is something to read.
 const LOOK: Duration = Duration::from_millis(300);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -9,8 +9,8 @@
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::event::EventId;
 use auburnline_gateway::event::Splitter;
-use auburnline_gateway::gateway::Refusal;
 use auburnline_gateway::pace::Group;
+use auburnline_gateway::request::Refusal;
 use auburnline_http::Body as Incoming;
 use bytes::Bytes;
 use futures::StreamExt as _;
@@ -22,13 +22,13 @@
 use tokio::time::timeout;
 
 use crate::exchange::Exchange;
-use crate::exchange::Pace;
 use crate::exchange::Sent;
-use crate::exchange::refuse;
 use crate::flight::Flight;
 use crate::head;
 use crate::head::Body;
 use crate::head::Broken;
+use crate::tell::Pace;
+use crate::tell::refuse;
 
 /// A stream on its way.
 struct Passage {
--- /dev/null
+++ b/crates/relay/src/tell.rs
@@ -0,0 +1,126 @@
+//! What the log and the metrics are told of a request.
+
+use std::time::Duration;
+
+use auburnline_gateway::event::EventId;
+use auburnline_gateway::request::Plan;
+use auburnline_gateway::request::Refusal;
+use auburnline_gateway::upstream::Choice;
+use http::Response;
+use metrics::counter;
+use metrics::histogram;
+
+use crate::exchange::Exchange;
+use crate::flight::Flight;
+use crate::head;
+use crate::head::Body;
+use crate::shared::Shared;
+
+/// How a stream's events came.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pace {
+    pub(crate) events: u64,
+    /// Time from the request to its first event.
+    pub(crate) first: Duration,
+    pub(crate) longest_pause: Duration,
+    /// Mean pass of its group when it ended.
+    pub(crate) mean_pass: Duration,
+}
+
+/// Answers a request that is not served, and says why in the log.
+pub(crate) fn refuse(
+    shared: &Shared,
+    id: &str,
+    plan: Option<&Plan>,
+    refusal: &Refusal,
+) -> Response<Body> {
+    let kind = refusal.kind;
+    let gateway = shared.gateway();
+    let now = shared.now();
+    let age = gateway.knowledge.age(now).unwrap_or_default();
+    let prediction = refusal.prediction;
+    log::info!(
+        target: "gateway",
+        request = id,
+        route = plan.map_or("", |plan| plan.route.name.as_str()),
+        workspace = workspace(plan),
+        kind = kind.name().as_str(),
+        reason = refusal.reason,
+        retry_after_ms = millis(refusal.retry_after.unwrap_or_default()),
+        waited_ms = plan.map_or(0, |plan| millis(now.saturating_sub(plan.arrived))),
+        in_flight:? = plan.map(|plan| gateway.pool.in_flight(&plan.service)),
+        most:? = prediction.map(|prediction| prediction.most),
+        pass_ms:? = prediction.map(|prediction| millis(prediction.pass)),
+        factor:? = prediction.map(|prediction| prediction.factor),
+        version:? = gateway.version(),
+        age_ms = millis(age);
+        "refuse"
+    );
+    drop(gateway);
+    counter!("auburnline_refusals_total", "kind" => kind.name()).increment(1);
+    head::own(&*shared.dialect, id, kind, refusal.retry_after)
+}
+
+fn workspace(plan: Option<&Plan>) -> &str {
+    let workspace = plan.and_then(|plan| plan.workspace.as_ref());
+    workspace.map_or("", |workspace| &*workspace.name)
+}
+
+/// Returns whole milliseconds, for the log.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Exchange {
+    pub(crate) fn log_send(&self, choice: &Choice, after: Option<EventId>) {
+        log::info!(
+            target: "gateway",
+            request = self.id(),
+            route = self.plan.route.name.as_str(),
+            workspace = workspace(Some(&self.plan)),
+            upstream = &*choice.upstream.id,
+            send = self.sends + 1,
+            after:?,
+            in_flight = choice.in_flight,
+            score = choice.score,
+            candidates = choice.candidates,
+            left_ms = millis(self.left()),
+            version = self.plan.version,
+            age_ms = millis(self.plan.age);
+            "send"
+        );
+        counter!("auburnline_sends_total").increment(1);
+    }
+
+    /// Says in the log why a send has no answer.
+    pub(crate) fn log_failure(&self, cause: &str, flight: &Flight) {
+        log::info!(
+            target: "gateway",
+            request = self.id(),
+            upstream = &**flight.upstream(),
+            cause,
+            left_ms = millis(self.left());
+            "fail"
+        );
+        counter!("auburnline_failures_total").increment(1);
+    }
+
+    /// Says in the log how the request ended.
+    pub(crate) fn log_answer(&self, status: u16, pace: &Pace) {
+        let took = self.shared.now().saturating_sub(self.plan.arrived);
+        log::info!(
+            target: "gateway",
+            request = self.id(),
+            status,
+            events = pace.events,
+            first_ms = millis(pace.first),
+            longest_pause_ms = millis(pace.longest_pause),
+            mean_pass_ms = millis(pace.mean_pass),
+            sends = self.sends,
+            took_ms = millis(took);
+            "answer"
+        );
+        counter!("auburnline_answers_total", "status" => status.to_string()).increment(1);
+        histogram!("auburnline_answer_seconds").record(took);
+    }
+}
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -36,6 +36,7 @@
 /// An engine, as a platform lets one speak to it.
 pub trait Engine {
     /// Returns the engine of another rank.
+    #[must_use]
     fn at(&self, address: SocketAddr) -> Self;
 
     /// Reads the rank's state.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 mod run;
 mod settings;
 mod sidecar;
+mod stand_in;
 
 pub use engine::Counts;
 pub use engine::Engine;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -11,7 +11,6 @@
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::coordinator::HOLDER;
 use auburnline_lockstep::coordinator::Send;
-use auburnline_lockstep::deputy;
 use auburnline_lockstep::deputy::Deputy;
 use auburnline_lockstep::layout::Layout;
 use auburnline_lockstep::message::Ask;
@@ -41,7 +40,7 @@
 /// Time between two looks while an order awaits its effect.
 const QUICK_PERIOD: Duration = Duration::from_millis(40);
 /// Time for which looks stay quick after an order.
-const QUICK: Duration = Duration::from_millis(200);
+pub(crate) const QUICK: Duration = Duration::from_millis(200);
 /// Times that an order without answer is given: where one in ten gets lost, one in a thousand does then.
 const TRIES: usize = 3;
 /// Age at which the word of the one that leads is forgotten.
@@ -50,16 +49,16 @@
 const MAX_BYTES: usize = 60 << 10;
 
 /// Who leads this sidecar's group.
-struct Leader {
+pub(crate) struct Leader {
     address: SocketAddr,
     heard: Monotonic,
-    word: LeadWord,
+    pub(crate) word: LeadWord,
 }
 
 /// State of one sidecar.
 pub(crate) struct Sidecar<E> {
     settings: Settings,
-    engine: E,
+    pub(crate) engine: E,
     socket: UdpSocket,
     clock: Clock,
     /// Time of day at the clock's start.
@@ -67,17 +66,17 @@
     lead: Option<Lead>,
     members: Option<Members>,
     asked: Option<Monotonic>,
-    leader: Option<Leader>,
+    pub(crate) leader: Option<Leader>,
     deputy: Deputy,
     counts: Counts,
     counted: Option<Monotonic>,
     /// When the rank was looked at last.
     looked: Monotonic,
     /// Until when looks are quick.
-    quick_until: Monotonic,
+    pub(crate) quick_until: Monotonic,
     is_reachable: bool,
     /// Group and epoch that the rank showed last.
-    group: Option<String>,
+    pub(crate) group: Option<String>,
     epoch: Option<Epoch>,
 }
 
@@ -204,12 +203,11 @@
 
     /// Returns the experts that the rank holds, if they were asked for.
     async fn held(&self) -> Option<Vec<Vec<u16>>> {
-        let is_asked = match &self.lead {
-            Some(lead) => lead.wants_layout(),
-            None => {
-                let leader = self.leader.as_ref();
-                leader.is_some_and(|leader| leader.word.wants_layout)
-            }
+        let is_asked = if let Some(lead) = &self.lead {
+            lead.wants_layout()
+        } else {
+            let leader = self.leader.as_ref();
+            leader.is_some_and(|leader| leader.word.wants_layout)
         };
         if !is_asked {
             return None;
@@ -237,45 +235,6 @@
         }
     }
 
-    /// Takes a change forward whose lead fell silent.
-    async fn stand_in(&mut self, now: Monotonic) {
-        self.quick_until = now + QUICK;
-        let Some(leader) = &self.leader else {
-            return;
-        };
-        let (epoch, engines) = (leader.word.epoch, leader.word.engines.clone());
-        let mut seen = Vec::with_capacity(engines.len());
-        for engine in engines {
-            let engine = self.engine.at(engine);
-            match engine.report().await {
-                Ok(report) if Some(&report.group) == self.group.as_ref() => {
-                    seen.push((report.sight, engine));
-                }
-                Ok(_) => {}
-                // It may be one that left; whether all ranks were seen is asked below.
-                Err(failure) => {
-                    let cause = failure.to_string();
-                    log::debug!(target: "engine", cause = cause.as_str(); "not seen while standing in");
-                }
-            }
-        }
-        let sights: Vec<_> = seen.iter().map(|(sight, _)| sight).collect();
-        let is_whole = sights
-            .first()
-            .is_some_and(|first| usize::from(first.size) == sights.len());
-        if !is_whole {
-            return;
-        }
-        for (rank, order) in deputy::orders(&sights) {
-            let found = seen.iter().find(|(sight, _)| sight.rank == rank);
-            if let Some((_, engine)) = found {
-                let reply = engine.order(epoch, order, None).await;
-                log::info!(target: "engine", epoch, rank, order:?, reply:?; "order while standing in");
-                metrics::counter!("auburnline_stand_in_orders_total").increment(1);
-            }
-        }
-    }
-
     async fn lead(&mut self, show: Show) {
         let now = self.clock.now();
         self.ask(now).await;
