--- a/crates/duty/src/logging.rs
+++ b/crates/duty/src/logging.rs
@@ -2,8 +2,8 @@
 //!
 //! A line reads `time=… level=… target=… msg=…` and then the record's own pairs in their order. The
 //! duties only format and hand over; a thread of its own writes, joined by a bounded ring, so that a
-//! reader of the log that stalls can't stall a duty. Lines that find the ring full are dropped and
-//! counted, and the count is written with the next line that gets through. A process calls
+//! reader of the log that stalls can't stall a duty. Lines that find the ring full, or that pass the
+//! bound on the lines of a second, are dropped and counted, and the count is written with the next line that gets through. A process calls
 //! `log::logger().flush()` before it ends; that waits for the lines on their way, within a bound.
 //!
 //! Decision code without a logger prints its decision as pairs (`pool=p group=g`); a record passes that
@@ -24,6 +24,7 @@
 use std::sync::mpsc::sync_channel;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use env_logger::Target;
 use env_logger::fmt::Formatter;
@@ -58,6 +59,9 @@
 pub const DROPPED_METRIC: &str = "auburnline_log_dropped_total";
 /// Lines that wait for the writing thread.
 const WAITING_LINES: usize = 8_192;
+/// Lines of a second that are written at most: several times what the busiest process of the users' days
+/// writes (some hundred), and little enough for a log reader of a fleet.
+pub const LINES_PER_SECOND: u32 = 4_000;
 /// Times that a flush looks whether all lines are written.
 const FLUSH_CHECKS: u32 = 100;
 /// Time between two such looks.
@@ -219,8 +223,37 @@
     dropped: AtomicU64,
 }
 
+/// Lines that may still be written in this second.
+#[derive(Debug)]
+pub struct Allowance {
+    began: Instant,
+    left: u32,
+}
+
+impl Allowance {
+    /// Returns the allowance of the second that begins at `now`.
+    #[must_use]
+    pub const fn new(now: Instant) -> Allowance {
+        Allowance {
+            began: now,
+            left: LINES_PER_SECOND,
+        }
+    }
+
+    /// Takes a line out; returns whether one was left.
+    pub fn take(&mut self, now: Instant) -> bool {
+        if now.duration_since(self.began) >= Duration::from_secs(1) {
+            *self = Allowance::new(now);
+        }
+        let is_left = self.left > 0;
+        self.left = self.left.saturating_sub(1);
+        is_left
+    }
+}
+
 /// Sending end of the ring to the writing thread.
 struct Sink {
+    allowance: Allowance,
     lines: SyncSender<Vec<u8>>,
     counts: Arc<Counts>,
 }
@@ -235,6 +268,7 @@
     let (sender, receiver) = sync_channel(WAITING_LINES);
     let counts = Arc::<Counts>::default();
     let sink = Sink {
+        allowance: Allowance::new(Instant::now()),
         lines: sender,
         counts: Arc::clone(&counts),
     };
@@ -249,7 +283,8 @@
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
         // Counted before it is handed over, so that the count never falls below the truth.
         self.counts.waiting.fetch_add(1, Ordering::AcqRel);
-        if self.lines.try_send(line.to_vec()).is_err() {
+        let is_allowed = self.allowance.take(Instant::now());
+        if !is_allowed || self.lines.try_send(line.to_vec()).is_err() {
             self.counts.waiting.fetch_sub(1, Ordering::AcqRel);
             self.counts.dropped.fetch_add(1, Ordering::Relaxed);
             counter!(DROPPED_METRIC).increment(1);
--- a/crates/duty/tests/logging.rs
+++ b/crates/duty/tests/logging.rs
@@ -4,10 +4,14 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
 
 use auburnline_duty::decisions::Filter;
 use auburnline_duty::decisions::MAX_VALUE_BYTES;
 use auburnline_duty::decisions::Ring;
+use auburnline_duty::logging::Allowance;
+use auburnline_duty::logging::LINES_PER_SECOND;
 use auburnline_duty::logging::Logger;
 use auburnline_duty::logging::bridge;
 use auburnline_duty::metrics;
@@ -164,3 +168,12 @@
     );
     expect_that!(metrics::install().is_err(), eq(true));
 }
+
+#[gtest]
+fn the_lines_of_a_second_are_bounded_and_the_next_second_has_its_own() {
+    let start = Instant::now();
+    let mut allowance = Allowance::new(start);
+    let taken = (0..2 * LINES_PER_SECOND).filter(|_| allowance.take(start));
+    assert_that!(taken.count(), eq(LINES_PER_SECOND as usize));
+    assert_that!(allowance.take(start + Duration::from_secs(1)), eq(true));
+}
