--- a/crates/process/src/fleet.rs
+++ b/crates/process/src/fleet.rs
@@ -31,7 +31,7 @@
 use auburnline_peer::wire::Heartbeat;
 use auburnline_peer::wire::Hello;
 use auburnline_peer::wire::Topic;
-use auburnline_platform::Instances;
+use auburnline_registry::Instances;
 use bytes::Bytes;
 
 use crate::link::Link;
--- a/crates/process/src/reader.rs
+++ b/crates/process/src/reader.rs
@@ -15,9 +15,9 @@
 use auburnline_core::published::Section;
 use auburnline_duty::ring;
 use auburnline_duty::thread::Thread;
-use auburnline_platform::Client;
-use auburnline_platform::Instances;
-use auburnline_platform::Timeouts;
+use auburnline_registry::Client;
+use auburnline_registry::Instances;
+use auburnline_registry::Timeouts;
 use bytes::Bytes;
 use tokio::task::spawn_local;
 
--- a/crates/platform/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -1,4 +1,4 @@
-//! Client of the configuration service and the instance list.
+//! Client of the product's own configuration service and instance list.
 //!
 //! Both can only be read. A read is one call, and so is a watch that waits. What is read may be
 //! stale, old or missing; this package passes it on with its version and decides nothing. Each call
--- a/crates/platform/tests/reads.rs
+++ b/crates/registry/tests/reads.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use auburnline_core::published::MAX_VALUE_BYTES;
-use auburnline_platform::Client;
-use auburnline_platform::Failure;
-use auburnline_platform::Instances;
-use auburnline_platform::Timeouts;
-use auburnline_platform::Value;
+use auburnline_registry::Client;
+use auburnline_registry::Failure;
+use auburnline_registry::Instances;
+use auburnline_registry::Timeouts;
+use auburnline_registry::Value;
 use auburnline_standin::control;
 use auburnline_standin::platform::Fault;
 use auburnline_standin::platform::Platform;
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -66,7 +66,7 @@
 /// Returns why it could not be told.
 pub async fn set_instances(
     address: SocketAddr,
-    instances: &auburnline_platform::Instances,
+    instances: &auburnline_registry::Instances,
 ) -> Result<(), Report<Failure>> {
     send(
         address,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -13,8 +13,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use auburnline_platform::Instances;
-use auburnline_platform::VERSION_HEADER;
+use auburnline_registry::Instances;
+use auburnline_registry::VERSION_HEADER;
 use bytes::Bytes;
 use http::Method;
 use http::Request;
--- a/crates/standin/tests/random.rs
+++ b/crates/standin/tests/random.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use auburnline_platform::Client as Platform;
+use auburnline_registry::Client as Platform;
 use auburnline_service::Call;
 use auburnline_service::Client as Service;
 use auburnline_standin::scripted::Script;
