Let few sidecars stand in, with pauses, and hear before they look

After all power was lost a group was held, its sidecars took the lead for silent and each looked at all 24 ranks again and again, engines that had left included, for 150 ms each; meanwhile their sockets were not read, so they never heard the lead's words and orders to arm, and the group stood still for good (27,764 reports asked for). Ruled out: lost orders (all 24 had prepared and the hold was answered). Now sidecars read what was said before they look, only ranks 1 and 2 stand in, once a second at most.

--- a/crates/lockstep/src/deputy.rs
+++ b/crates/lockstep/src/deputy.rs
@@ -22,15 +22,19 @@
 /// sidecar stands in: a few of its words, and many passes.
 const PATIENCE: Duration = Duration::from_millis(500);
 /// What each rank waits longer than the one before, so that one of them acts first.
-const PER_RANK: Duration = Duration::from_millis(100);
-/// Ranks after which waits grow no more.
-const MOST_RANKS: Rank = 8;
+const PER_RANK: Duration = Duration::from_millis(300);
+/// Last rank that stands in. Each look at all ranks costs the engines answers and the sidecar time in
+/// which it hears nobody, so few may do it.
+const LAST_RANK: Rank = 2;
+/// Time between two looks at all ranks.
+const PAUSE: Duration = Duration::from_secs(1);
 
 /// Notes that a rank stands still.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Deputy {
     step: Step,
     moved: Monotonic,
+    acted: Option<Monotonic>,
 }
 
 impl Deputy {
@@ -43,10 +47,19 @@
             self.moved = now;
             return false;
         }
-        let patience = PATIENCE + PER_RANK * u32::from(own.rank.min(MOST_RANKS));
+        let is_pausing = self.acted.is_some_and(|at| now.saturating_sub(at) < PAUSE);
+        if own.rank > LAST_RANK || is_pausing {
+            return false;
+        }
+        let patience = PATIENCE + PER_RANK * u32::from(own.rank);
         let is_still = now.saturating_sub(self.moved) >= patience;
         is_still && now.saturating_sub(heard) >= patience
     }
+
+    /// Takes that it stood in at `now`.
+    pub const fn acted(&mut self, now: Monotonic) {
+        self.acted = Some(now);
+    }
 }
 
 /// Says what takes a change forward that `sights` of all ranks show, if one is under way.
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -40,7 +40,7 @@
 /// Time between two looks while an order awaits its effect.
 const QUICK_PERIOD: Duration = Duration::from_millis(40);
 /// Time for which looks stay quick after an order.
-pub(crate) const QUICK: Duration = Duration::from_millis(200);
+const QUICK: Duration = Duration::from_millis(200);
 /// Times that an order without answer is given: where one in ten gets lost, one in a thousand does then.
 const TRIES: usize = 3;
 /// Age at which the word of the one that leads is forgotten.
@@ -67,13 +67,13 @@
     members: Option<Members>,
     asked: Option<Monotonic>,
     pub(crate) leader: Option<Leader>,
-    deputy: Deputy,
+    pub(crate) deputy: Deputy,
     counts: Counts,
     counted: Option<Monotonic>,
     /// When the rank was looked at last.
     looked: Monotonic,
     /// Until when looks are quick.
-    pub(crate) quick_until: Monotonic,
+    quick_until: Monotonic,
     is_reachable: bool,
     /// Group and epoch that the rank showed last.
     pub(crate) group: Option<String>,
@@ -111,14 +111,17 @@
         loop {
             let pause = self.pause();
             tokio::select! {
-                () = sleep(pause) => self.look().await,
+                // What was said is heard first: a look may take long, and whether the lead is silent can be
+                // told only once all its words were read.
+                biased;
                 received = self.socket.recv_from(&mut bytes) => match received {
                     Ok((length, from)) => self.hear(&bytes[..length], from).await,
                     Err(error) => {
                         let cause = error.to_string();
                         log::debug!(target: "sidecar", cause = cause.as_str(); "no datagram");
                     }
-                }
+                },
+                () = sleep(pause) => self.look().await,
             }
         }
     }
--- a/crates/sidecar/src/stand_in.rs
+++ b/crates/sidecar/src/stand_in.rs
@@ -4,13 +4,12 @@
 use auburnline_lockstep::deputy;
 
 use crate::engine::Engine;
-use crate::sidecar::QUICK;
 use crate::sidecar::Sidecar;
 
 impl<E: Engine> Sidecar<E> {
     /// Takes a change forward whose lead fell silent.
     pub(crate) async fn stand_in(&mut self, now: Monotonic) {
-        self.quick_until = now + QUICK;
+        self.deputy.acted(now);
         let Some(leader) = &self.leader else {
             return;
         };
