Take back the passing over of groups after failures one after the other

Failed try: with it answers::an_upstream_gone_silent_keeps_no_entry_from_serving passes, but three tests of ejection fail (retries::upstreams_that_refuse_everything_get_the_budgets_share_of_further_sends, a_group_that_refuses_is_left_out_until_its_time_is_over, a_group_that_is_left_out_serves_when_the_others_are_lost): a group that is passed over never has enough ends to be judged, and is tried again too soon or too late for them. A mend has to go through the judge itself.

--- a/crates/entry/src/state/retry.rs
+++ b/crates/entry/src/state/retry.rs
@@ -239,9 +239,8 @@
             Some(kind) if blames(kind) => false,
             Some(_) => return,
         };
-        let now = self.clock.now();
         let pools = &mut self.retries.pools;
-        pools.record(now, &shard(exchange), group, served);
+        pools.record(&shard(exchange), group, served);
     }
 
     /// Forgets budgets that are full, and ends the windows of ejection.
