Never tell a refused caller to come back at once for a part of a millisecond

A home's bar that ends within the millisecond was told as 0 whole milliseconds. Ruled out: another kind of refusal (the kind was limit_exceeded). Test: a_refusal_never_tells_to_come_back_at_once.

--- a/crates/limits/src/bucket.rs
+++ b/crates/limits/src/bucket.rs
@@ -27,6 +27,9 @@
 const MAX_BUCKETS: usize = 4096;
 /// Time that a request may wait for a grant.
 const PATIENCE: Duration = Duration::from_millis(250);
+/// Least time to come back that a refusal tells: callers are told whole milliseconds, and none would mean
+/// at once.
+const LEAST_RETURN: Duration = Duration::from_millis(1);
 /// Asks that may be without an answer; older ones are forgotten, and their grants dropped.
 const MAX_ASKS: usize = 1024;
 
@@ -229,6 +232,6 @@
 fn refused(retry_after: Duration) -> Verdict {
     Verdict::Refused(Refusal {
         kind: Kind::LimitExceeded,
-        retry_after,
+        retry_after: retry_after.max(LEAST_RETURN),
     })
 }
--- a/crates/limits/tests/bucket.rs
+++ b/crates/limits/tests/bucket.rs
@@ -74,6 +74,18 @@
     expect_true!(matches!(smaller, Verdict::Pending(_)));
 }
 
+/// Callers are told whole milliseconds: a part of one would read as none, and so as "at once".
+#[gtest]
+fn a_refusal_never_tells_to_come_back_at_once() {
+    let mut holder = Holder::new(Settings::default(), 1);
+    let asked = ask(&mut holder, START, 500);
+    holder.granted(START, &answer(&asked, 0, Duration::from_micros(300)));
+    let Verdict::Refused(refusal) = holder.charge(START, &workspace(), 500) else {
+        panic!("the home has nothing");
+    };
+    expect_that!(refusal.retry_after, ge(Duration::from_millis(1)));
+}
+
 #[gtest]
 fn a_grant_counts_once_and_from_the_moment_of_the_ask() {
     let mut holder = Holder::new(Settings::default(), 1);
