--- a/crates/lockstep/src/coordinator.rs
+++ b/crates/lockstep/src/coordinator.rs
@@ -36,9 +36,6 @@
 const AGAIN: Duration = Duration::from_millis(150);
 /// Time beyond the copying after which an order to prepare is given again.
 const PREPARE_AGAIN: Duration = Duration::from_millis(500);
-/// Time without new changes after an order to prepare had to be given again. Orders get lost then, and a
-/// group that is held while the last rank is armed stands still.
-const LOSSY: Duration = Duration::from_secs(4);
 /// Longest time to prepare a change; then another one is planned.
 const LONGEST_PREPARATION: Duration = Duration::from_secs(3);
 /// Time between two plans; popularity does not tell more within less.
@@ -121,8 +118,6 @@
     began: Monotonic,
     given: BTreeMap<Rank, (Order, Monotonic)>,
     planned_at: Monotonic,
-    /// Until when orders count as getting lost.
-    lossy_until: Monotonic,
     /// Time of day at the start of the process.
     started: Duration,
     notes: Vec<Note>,
@@ -144,7 +139,6 @@
             began: now,
             given: BTreeMap::new(),
             planned_at: now,
-            lossy_until: Monotonic::ZERO,
             started,
             notes: Vec::new(),
         }
@@ -322,7 +316,7 @@
     /// Begins a change if one is worth it.
     fn begin(&mut self, now: Monotonic) {
         let is_due = now.saturating_sub(self.planned_at) >= PLAN_PERIOD;
-        if !is_due || now < self.lossy_until || !self.is_calm(now) {
+        if !is_due || !self.is_calm(now) {
             return;
         }
         let (Some(known), Some(shares)) = (&self.in_force, self.popularity.shares()) else {
@@ -375,13 +369,9 @@
             return Vec::new();
         };
         let is_late = now.saturating_sub(self.began) > LONGEST_PREPARATION;
-        let reason = match (now < self.lossy_until, is_late) {
-            (true, _) => Some("orders get lost"),
-            (false, true) => Some("not prepared in time"),
-            (false, false) => None,
-        };
-        if let Some(reason) = reason.filter(|_| change.may_end()) {
-            self.notes.push(Note::Void(change.version(), reason));
+        if change.may_end() && is_late {
+            self.notes
+                .push(Note::Void(change.version(), "not prepared in time"));
             self.next = None;
             return Vec::new();
         }
@@ -433,11 +423,7 @@
     }
 
     fn give(&mut self, rank: Rank, epoch: Epoch, order: Order, now: Monotonic) -> Send {
-        let before = self.given.insert(rank, (order, now));
-        let is_again = before.is_some_and(|(before, _)| before == order);
-        if is_again && matches!(order, Order::Prepare(_)) {
-            self.lossy_until = now + LOSSY;
-        }
+        self.given.insert(rank, (order, now));
         let layout = match order {
             Order::Prepare(_) => self.next.as_ref().map(|next| Arc::clone(&next.layout)),
             Order::Hold(_) | Order::Arm(_) | Order::Release(_) => None,
--- a/crates/lockstep/src/message.rs
+++ b/crates/lockstep/src/message.rs
@@ -67,8 +67,6 @@
     pub epoch: Epoch,
     /// Whether the layout in force is not known.
     pub wants_layout: bool,
-    /// Addresses of the group's engines, for those that stand in.
-    pub engines: Vec<SocketAddr>,
 }
 
 /// One rank as its sidecar sees it.
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -1,7 +1,5 @@
 //! The engine beside which a sidecar runs.
 
-use std::net::SocketAddr;
-
 use auburnline_core::id::Expert;
 use auburnline_http::Failure;
 use auburnline_lockstep::change::Order;
@@ -35,10 +33,6 @@
 
 /// An engine, as a platform lets one speak to it.
 pub trait Engine {
-    /// Returns the engine of another rank.
-    #[must_use]
-    fn at(&self, address: SocketAddr) -> Self;
-
     /// Reads the rank's state.
     fn report(&self) -> impl Future<Output = Result<Report, Failure>>;
 
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -78,23 +78,17 @@
         }
         self.digested_at = now;
         self.was_open = is_open;
-        Some(Digest {
-            service: members.service.clone(),
-            group: self.group.clone(),
-            is_open,
-            engines: self.engines(members, own),
-        })
-    }
-
-    /// Returns the addresses of the group's engines: each is on its sidecar's instance.
-    pub(crate) fn engines(&self, members: &Members, own: SocketAddr) -> Vec<SocketAddr> {
         let sidecars: Vec<_> = self.addresses.values().chain([&own]).collect();
         let is_ours = |engine: &&SocketAddr| {
             let mut sidecars = sidecars.iter();
             sidecars.any(|sidecar| sidecar.ip() == engine.ip())
         };
-        let engines = members.upstreams.iter().filter(is_ours);
-        engines.copied().collect()
+        Some(Digest {
+            service: members.service.clone(),
+            group: self.group.clone(),
+            is_open,
+            engines: members.upstreams.iter().filter(is_ours).copied().collect(),
+        })
     }
 
     /// Takes the state of a rank.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,7 +10,6 @@
 mod run;
 mod settings;
 mod sidecar;
-mod stand_in;
 
 pub use engine::Counts;
 pub use engine::Engine;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -11,7 +11,6 @@
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::coordinator::HOLDER;
 use auburnline_lockstep::coordinator::Send;
-use auburnline_lockstep::deputy::Deputy;
 use auburnline_lockstep::layout::Layout;
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Command;
@@ -41,24 +40,15 @@
 const QUICK_PERIOD: Duration = Duration::from_millis(40);
 /// Time for which looks stay quick after an order.
 const QUICK: Duration = Duration::from_millis(200);
-/// Times that an order without answer is given: where one in ten gets lost, one in a thousand does then.
-const TRIES: usize = 3;
 /// Age at which the word of the one that leads is forgotten.
 const LEAD_AGE: Duration = Duration::from_secs(3);
 /// Largest datagram.
 const MAX_BYTES: usize = 60 << 10;
 
-/// Who leads this sidecar's group.
-pub(crate) struct Leader {
-    address: SocketAddr,
-    heard: Monotonic,
-    pub(crate) word: LeadWord,
-}
-
 /// State of one sidecar.
 pub(crate) struct Sidecar<E> {
     settings: Settings,
-    pub(crate) engine: E,
+    engine: E,
     socket: UdpSocket,
     clock: Clock,
     /// Time of day at the clock's start.
@@ -66,8 +56,8 @@
     lead: Option<Lead>,
     members: Option<Members>,
     asked: Option<Monotonic>,
-    pub(crate) leader: Option<Leader>,
-    pub(crate) deputy: Deputy,
+    /// Who leads, when that was heard, and whether the layout is asked for.
+    leader: Option<(SocketAddr, Monotonic, bool)>,
     counts: Counts,
     counted: Option<Monotonic>,
     /// When the rank was looked at last.
@@ -76,7 +66,7 @@
     quick_until: Monotonic,
     is_reachable: bool,
     /// Group and epoch that the rank showed last.
-    pub(crate) group: Option<String>,
+    group: Option<String>,
     epoch: Option<Epoch>,
 }
 
@@ -94,7 +84,6 @@
             members: None,
             asked: None,
             leader: None,
-            deputy: Deputy::default(),
             counts: Counts::default(),
             counted: None,
             looked: Monotonic::ZERO,
@@ -111,17 +100,14 @@
         loop {
             let pause = self.pause();
             tokio::select! {
-                // What was said is heard first: a look may take long, and whether the lead is silent can be
-                // told only once all its words were read.
-                biased;
+                () = sleep(pause) => self.look().await,
                 received = self.socket.recv_from(&mut bytes) => match received {
                     Ok((length, from)) => self.hear(&bytes[..length], from).await,
                     Err(error) => {
                         let cause = error.to_string();
                         log::debug!(target: "sidecar", cause = cause.as_str(); "no datagram");
                     }
-                },
-                () = sleep(pause) => self.look().await,
+                }
             }
         }
     }
@@ -206,11 +192,9 @@
 
     /// Returns the experts that the rank holds, if they were asked for.
     async fn held(&self) -> Option<Vec<Vec<u16>>> {
-        let is_asked = if let Some(lead) = &self.lead {
-            lead.wants_layout()
-        } else {
-            let leader = self.leader.as_ref();
-            leader.is_some_and(|leader| leader.word.wants_layout)
+        let is_asked = match &self.lead {
+            Some(lead) => lead.wants_layout(),
+            None => self.leader.is_some_and(|(_, _, wants_layout)| wants_layout),
         };
         if !is_asked {
             return None;
@@ -225,17 +209,12 @@
 
     async fn show(&mut self, show: Show) {
         let now = self.clock.now();
-        let Some(leader) = &self.leader else {
+        let leader = self.leader;
+        let Some((leader, _, _)) = leader.filter(|(_, at, _)| now.saturating_sub(*at) < LEAD_AGE)
+        else {
             return;
         };
-        let is_silent = self.deputy.look(&show.sight, leader.heard, now);
-        if is_silent {
-            self.stand_in(now).await;
-            return;
-        }
-        if now.saturating_sub(leader.heard) < LEAD_AGE {
-            self.tell(&Message::Show(show), leader.address).await;
-        }
+        self.tell(&Message::Show(show), leader).await;
     }
 
     async fn lead(&mut self, show: Show) {
@@ -253,9 +232,6 @@
             group: show.group.clone(),
             epoch: show.sight.epoch,
             wants_layout: lead.wants_layout(),
-            engines: self.members.as_ref().map_or_else(Vec::new, |members| {
-                lead.engines(members, self.settings.peers)
-            }),
         };
         lead.see(show, None, now);
         lead.tell_pulse(now);
@@ -340,16 +316,8 @@
         self.tell(&Message::Command(command), address).await;
     }
 
-    /// Gives an order to the own rank, and again if it gets no answer: each may be repeated without harm.
+    /// Gives an order to the own rank.
     async fn order(&mut self, epoch: Epoch, order: Order, layout: Option<&Layout>) {
-        for _ in 0..TRIES {
-            if self.try_order(epoch, order, layout).await {
-                return;
-            }
-        }
-    }
-
-    async fn try_order(&self, epoch: Epoch, order: Order, layout: Option<&Layout>) -> bool {
         let reply = self.engine.order(epoch, order, layout).await;
         log::info!(target: "engine", epoch, order:?, reply:?; "order");
         let outcome = if reply.is_ok() {
@@ -358,7 +326,6 @@
             "unanswered"
         };
         metrics::counter!("auburnline_orders_total", "outcome" => outcome).increment(1);
-        reply.is_ok()
     }
 
     async fn hear(&mut self, bytes: &[u8], from: SocketAddr) {
@@ -380,11 +347,7 @@
             }
             Message::Lead(word) => {
                 if self.group.as_ref() == Some(&word.group) {
-                    self.leader = Some(Leader {
-                        address: from,
-                        heard: now,
-                        word,
-                    });
+                    self.leader = Some((from, now, word.wants_layout));
                 }
             }
             Message::Show(show) => {
