Reading of the whole change: one fault, and what stood twice

The relay took an answer of a plain service whole with a loop of its own that, other than the one of the HTTP client, did not ask whether its end can be told from a cut; streams did not either. An answer without length or chunks that breaks off thus looked complete. The client's body now says so to all who read it part by part, and the relay uses the client's own bound reading.

--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -13,6 +13,10 @@
 /// so that both together stay within the slack in each window.
 const RESERVE_PART: f64 = 0.5;
 
+/// Least slack that comes back over the window, so that the time for one part of it stays finite: with
+/// less than a hundredth of a retry in each window, practically none comes back.
+const LEAST_RETURN: f64 = 0.01;
+
 /// Returns this gateway's share of the fleet's retry budget; no slack while the fleet's size is unknown.
 pub(crate) fn shares(bounds: &Bounds, fleet: Option<usize>) -> budget::Settings {
     let slack = fleet.map_or(0.0, |fleet| {
@@ -20,7 +24,7 @@
         bounds.retry_slack / f64::from(fleet.max(1))
     });
     let reserve = slack * RESERVE_PART;
-    let refill = bounds.retry_window.as_secs_f64() / (slack - reserve).max(0.01);
+    let refill = bounds.retry_window.as_secs_f64() / (slack - reserve).max(LEAST_RETURN);
     budget::Settings {
         share: thousandths(bounds.retry_ratio),
         reserve: whole(reserve),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -89,8 +89,8 @@
     failed_at: Monotonic,
     mean_seconds: Option<f64>,
     mean_at: Monotonic,
-    /// When it was first missing from the list.
-    missing_since: Option<Monotonic>,
+    /// Whether it is missing from the list.
+    is_missing: bool,
 }
 
 impl Member {
@@ -103,7 +103,7 @@
             failed_at: Monotonic::ZERO,
             mean_seconds: None,
             mean_at: Monotonic::ZERO,
-            missing_since: None,
+            is_missing: false,
         }
     }
 
@@ -198,7 +198,7 @@
             self.members.insert(member.upstream.id.clone(), member);
             return Some(change);
         };
-        member.missing_since = None;
+        member.is_missing = false;
         let was_ready = member.takes_work();
         member.upstream = Arc::new(upstream);
         let is_leaving = was_ready && !member.takes_work();
@@ -206,14 +206,14 @@
     }
 
     /// Takes that an upstream is missing from the list; [`Pool::expire`] removes it.
-    pub fn miss(&mut self, id: &str, now: Monotonic) {
+    pub fn miss(&mut self, id: &str) {
         if let Some(member) = self.members.get_mut(id) {
-            member.missing_since.get_or_insert(now);
+            member.is_missing = true;
         }
     }
 
     /// Takes a whole list: what it does not hold is missing.
-    pub fn replace(&mut self, upstreams: Vec<Upstream>, now: Monotonic) -> Vec<Change> {
+    pub fn replace(&mut self, upstreams: Vec<Upstream>) -> Vec<Change> {
         let listed: Vec<UpstreamId> = upstreams.iter().map(|one| one.id.clone()).collect();
         let changes = upstreams.into_iter().filter_map(|one| self.insert(one));
         let changes = changes.collect();
@@ -222,7 +222,7 @@
             .values_mut()
             .filter(|member| !listed.contains(&member.upstream.id));
         for member in unlisted {
-            member.missing_since.get_or_insert(now);
+            member.is_missing = true;
         }
         changes
     }
@@ -234,11 +234,10 @@
         }
         let mut gone = Vec::new();
         self.members.retain(|_, member| {
-            let is_missing = member.missing_since.is_some();
-            if is_missing {
+            if member.is_missing {
                 gone.push(Change::Gone(Arc::clone(&member.upstream)));
             }
-            !is_missing
+            !member.is_missing
         });
         gone
     }
--- a/crates/gateway/tests/all/upstream.rs
+++ b/crates/gateway/tests/all/upstream.rs
@@ -115,12 +115,12 @@
 #[gtest]
 fn entries_that_lapsed_while_the_store_was_away_may_come_back() {
     let mut pool = pool(2);
-    pool.miss("u0", millis(1_000));
+    pool.miss("u0");
     assert_that!(pool.expire(true), is_empty());
     assert_that!(pool.ready("desk"), eq(2));
     pool.insert(upstream("u0", "desk", State::Ready));
     assert_that!(pool.expire(false), is_empty());
-    pool.miss("u1", millis(3_000));
+    pool.miss("u1");
     assert_that!(pool.expire(false), len(eq(1)));
     assert_that!(pool.ready("desk"), eq(1));
 }
@@ -128,7 +128,7 @@
 #[gtest]
 fn a_whole_list_tells_what_is_missing() {
     let mut pool = pool(3);
-    let changes = pool.replace(vec![upstream("u1", "desk", State::Ready)], millis(0));
+    let changes = pool.replace(vec![upstream("u1", "desk", State::Ready)]);
     assert_that!(changes, is_empty());
     assert_that!(pool.expire(false), len(eq(2)));
 }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -37,12 +37,13 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Failure::Lost`] after a cut or a silence, and [`Failure::Malformed`] if the
+    /// Returns [`Failure::Lost`] after a cut, a silence or an end that can't be told from a cut, and [`Failure::Malformed`] if the
     /// framing is broken.
     pub async fn next(&mut self) -> Option<Result<Bytes, Report<Failure>>> {
         loop {
             let frame = match bounded(self.silence, self.incoming.frame()).await {
-                Ok(frame) => frame?,
+                Ok(Some(frame)) => frame,
+                Ok(None) => return self.end(),
                 Err(silent) => return Some(Err(silent).change_context(Failure::Lost)),
             };
             match frame {
@@ -59,6 +60,11 @@
         }
     }
 
+    fn end(&self) -> Option<Result<Bytes, Report<Failure>>> {
+        let lost = || Report::new(Failure::Lost).attach("the body has no marked end");
+        (!self.delimited).then(|| Err(lost()))
+    }
+
     /// Returns the whole body.
     ///
     /// # Errors
@@ -80,9 +86,6 @@
             }
             whole.extend_from_slice(&part);
         }
-        if !self.delimited {
-            return Err(Report::new(Failure::Lost).attach("the body has no marked end"));
-        }
         Ok(whole.freeze())
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -165,10 +165,22 @@
 /// Returns [`Failure::Failed`] on another status, and [`Failure::Malformed`] if the body is not
 /// what was asked for.
 pub async fn json<T: DeserializeOwned>(reply: Reply) -> Result<T, Report<Failure>> {
+    json_within(reply, MAX_JSON_BYTES).await
+}
+
+/// Reads a JSON answer of a success with at most `limit` bytes.
+///
+/// # Errors
+///
+/// As [`json`].
+pub async fn json_within<T: DeserializeOwned>(
+    reply: Reply,
+    limit: usize,
+) -> Result<T, Report<Failure>> {
     if !reply.status.is_success() {
         return Err(Report::new(Failure::Failed).attach(reply.status));
     }
-    let body = reply.body.whole(MAX_JSON_BYTES).await?;
+    let body = reply.body.whole(limit).await?;
     serde_json::from_slice(&body).change_context(Failure::Malformed)
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -18,5 +18,6 @@
 pub use crate::client::NOT_RUN;
 pub use crate::client::Reply;
 pub use crate::client::json;
+pub use crate::client::json_within;
 pub use crate::failure::Failure;
 pub use crate::timeouts::Timeouts;
--- a/crates/lockstep/src/lib.rs
+++ b/crates/lockstep/src/lib.rs
@@ -3,8 +3,8 @@
 //! The ranks of a group run each pass together and don't compare their maps, so a map must change on
 //! all of them at one pass or on none. [`change`] takes a group through that by orders that may be
 //! lost, late or doubled; [`popularity`] learns which experts are chosen, [`plan`] says which map is
-//! worth a change, and [`coordinator`] joins them for the sidecar beside rank 0. [`message`] is what
-//! sidecars say to each other. `auburnline-experts` does the same for engines in which each rank
+//! worth a change, and [`coordinator`] joins them for the sidecar beside rank 0, which [`told`] it what
+//! to do. [`message`] is what sidecars say to each other. `auburnline-experts` does the same for engines in which each rank
 //! holds by itself. Nothing here sends or reads a clock.
 
 pub mod change;
@@ -14,6 +14,7 @@
 pub mod plan;
 pub mod popularity;
 pub mod sight;
+pub mod told;
 
 pub use coordinator::Coordinator;
 
--- /dev/null
+++ b/crates/lockstep/src/told.rs
@@ -0,0 +1,60 @@
+//! What a coordinator tells whoever runs it: orders to send, and what belongs in the log.
+
+use std::sync::Arc;
+
+use auburnline_core::id::Rank;
+use auburnline_core::id::Step;
+
+use crate::change::Order;
+use crate::change::Phase;
+use crate::layout::Layout;
+use crate::plan::Plan;
+use crate::sight::Epoch;
+use crate::sight::Version;
+
+/// An order on its way to a rank.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Send {
+    /// Rank.
+    pub rank: Rank,
+    /// Epoch in which the order holds.
+    pub epoch: Epoch,
+    /// Order.
+    pub order: Order,
+    /// Layout to prepare.
+    pub layout: Option<Arc<Layout>>,
+}
+
+/// Something to tell in the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A change begins.
+    Begun(Version, Plan),
+    /// A change found after a start goes on.
+    Found(Version, Phase),
+    /// A change is in force.
+    Done(Version),
+    /// A change ended without effect.
+    Void(Version, &'static str),
+    /// Demand shifted by this distance.
+    Shifted(f64),
+    /// The group formed anew, or was seen first.
+    Formed(Epoch),
+}
+
+/// How a group runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pulse {
+    /// Newest pass.
+    pub step: Step,
+    /// Requests that run on all ranks.
+    pub running: u32,
+    /// Requests that wait on all ranks.
+    pub waiting: u32,
+    /// Most requests that run on one rank.
+    pub most_running: u32,
+    /// Most loaded rank over the mean under the popularity of now; none if it is not known.
+    pub skew: Option<f64>,
+    /// Map in force; none if ranks differ or it is not known.
+    pub version: Option<Version>,
+}
--- a/crates/lockstep/tests/all/coordinator.rs
+++ b/crates/lockstep/tests/all/coordinator.rs
@@ -5,9 +5,9 @@
 use auburnline_core::id::Rank;
 use auburnline_lockstep::Coordinator;
 use auburnline_lockstep::change::Order;
-use auburnline_lockstep::coordinator::Note;
-use auburnline_lockstep::coordinator::Send;
 use auburnline_lockstep::layout::Shape;
+use auburnline_lockstep::told::Note;
+use auburnline_lockstep::told::Send;
 use googletest::prelude::*;
 
 use crate::support::Engine;
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -5,13 +5,7 @@
 
 use std::time::Duration;
 
-use auburnline_gateway::request::Refusal;
 use auburnline_gateway::route::Kind;
-use auburnline_http::Body as Incoming;
-use auburnline_http::Failure;
-use bytes::Bytes;
-use bytes::BytesMut;
-use error_stack::Report;
 use http::Response;
 use tokio::time::timeout;
 
@@ -20,7 +14,6 @@
 use crate::head;
 use crate::head::Body;
 use crate::tell::Pace;
-use crate::tell::refuse;
 
 /// Largest answer that is taken whole.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -34,18 +27,18 @@
         let patience = patience(&exchange);
         match exchange.send(None, patience).await {
             Sent::Began(reply, mut flight) => {
-                let body = timeout(patience, collect(reply.body)).await;
+                let body = timeout(patience, reply.body.whole(MAX_ANSWER_BYTES)).await;
                 let Ok(Ok(body)) = body else {
                     flight.failed();
                     exchange.log_failure("the answer broke off", &flight);
-                    if !may_repeat(&exchange) {
+                    if !exchange.may_run_again() {
                         return exchange.give_up("the answer broke off");
                     }
                     continue;
                 };
                 if reply.status.is_server_error() {
                     flight.failed();
-                    if may_repeat(&exchange) {
+                    if exchange.may_run_again() {
                         exchange.log_failure("the upstream failed, repeating", &flight);
                         continue;
                     }
@@ -58,27 +51,11 @@
             }
             Sent::Failed { may_repeat: true } => {}
             Sent::Failed { may_repeat: false } => return exchange.give_up("no send succeeded"),
-            Sent::Refused(refusal) => return none_left(&exchange, &refusal),
+            Sent::Refused(refusal) => return exchange.end(&refusal),
         }
     }
 }
 
-fn may_repeat(exchange: &Exchange) -> bool {
-    exchange.plan.route.kind.is_idempotent() && exchange.may_repeat()
-}
-
-fn none_left(exchange: &Exchange, refusal: &Refusal) -> Response<Body> {
-    if exchange.may_have_run {
-        return exchange.give_up("no upstream is left");
-    }
-    refuse(
-        &exchange.shared,
-        exchange.id(),
-        Some(&exchange.plan),
-        refusal,
-    )
-}
-
 /// Returns how long the next send may take.
 fn patience(exchange: &Exchange) -> Duration {
     let left = exchange.left();
@@ -89,14 +66,3 @@
         left
     }
 }
-
-async fn collect(mut body: Incoming) -> Result<Bytes, Report<Failure>> {
-    let mut whole = BytesMut::new();
-    while let Some(part) = body.next().await {
-        whole.extend_from_slice(&part?);
-        if whole.len() > MAX_ANSWER_BYTES {
-            return Err(Report::new(Failure::Malformed).attach("the answer is too large"));
-        }
-    }
-    Ok(whole.freeze())
-}
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -18,10 +18,10 @@
 use crate::shared::Shared;
 
 /// Pause after a connection that could not be taken, mostly for lack of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Bounds before a configuration tells them.
 const FIRST_IDLE: Duration = Duration::from_secs(15);
-/// Bytes of a head before a configuration tells the bound; also the least that the library takes.
+/// Bytes of a head before a configuration tells the bound.
 const FIRST_HEADER_BYTES: usize = 16 << 10;
 /// Least buffer that the library takes.
 const LEAST_BUFFER: usize = 8 << 10;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -295,7 +295,7 @@
         } else {
             self.sends += 1;
             self.may_have_run = true;
-            self.plan.route.kind.is_idempotent() && self.may_repeat()
+            self.may_run_again()
         };
         Sent::Failed { may_repeat }
     }
@@ -305,8 +305,13 @@
         admit(&self.shared, &self.plan, &self.arrival.call).await
     }
 
+    /// Asks for leave to send once more what may have run.
+    pub(crate) fn may_run_again(&self) -> bool {
+        self.plan.route.kind.is_idempotent() && self.may_repeat()
+    }
+
     /// Asks for leave to send to one more upstream.
-    pub(crate) fn may_repeat(&self) -> bool {
+    fn may_repeat(&self) -> bool {
         if self.sends >= self.plan.route.max_attempts || self.left().is_zero() {
             return false;
         }
@@ -317,6 +322,14 @@
         is_allowed
     }
 
+    /// Ends a request that can't be sent again, true to what may have run.
+    pub(crate) fn end(&self, refusal: &Refusal) -> Response<Body> {
+        if self.may_have_run {
+            return self.give_up("no upstream is left");
+        }
+        refuse(&self.shared, self.id(), Some(&self.plan), refusal)
+    }
+
     /// Answers with a failure of the gateway's own, true to what may have run.
     pub(crate) fn give_up(&self, reason: &'static str) -> Response<Body> {
         let is_late = self.left().is_zero();
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::path::Path;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -89,7 +90,11 @@
     );
     let taking = listen(&shared, &settings, metrics).await?;
     spawn_local(source.run(Feed(Rc::clone(&shared))));
-    spawn_local(watch_settings(Rc::clone(&shared), path.to_owned()));
+    spawn_local(watch_settings(
+        Rc::clone(&shared),
+        path.to_owned(),
+        settings.clone(),
+    ));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
@@ -149,12 +154,11 @@
 }
 
 /// Takes changes of the settings file, told by a signal or not.
-async fn watch_settings(shared: Rc<Shared>, path: std::path::PathBuf) {
+async fn watch_settings(shared: Rc<Shared>, path: PathBuf, mut known: Settings) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
         log::error!(target: "process", "the signal to read the settings can't be waited for");
         return;
     };
-    let mut known: Option<Settings> = None;
     loop {
         let is_told = tokio::select! {
             told = hangup.recv() => told.is_some(),
@@ -162,14 +166,14 @@
         };
         match auburnline_settings::read::<Settings>(&path) {
             Ok(settings) => {
-                if is_told || known.as_ref().is_some_and(|known| *known != settings) {
+                if is_told || known != settings {
                     log::info!(target: "process", is_told, settings:?; "reload");
                 }
                 let mut gateway = shared.gateway();
                 gateway.set_bounds(settings.bounds());
                 gateway.roster.set_seeds(settings.seeds.clone());
                 drop(gateway);
-                known = Some(settings);
+                known = settings;
             }
             Err(error) => {
                 let cause = format!("{error:?}");
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -20,7 +20,9 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
+use crate::callers::ACCEPT_PAUSE;
 use crate::head;
 use crate::head::Body;
 use crate::shared::Shared;
@@ -48,7 +50,7 @@
             Err(error) => {
                 let cause = error.to_string();
                 log::warn!(target: "site", cause = cause.as_str(); "connection not taken");
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                sleep(ACCEPT_PAUSE).await;
             }
         }
     }
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -83,7 +83,6 @@
 
     /// Takes all that is published, as asked for at `asked`.
     pub fn all(&self, all: All, asked: Monotonic) {
-        let now = self.now();
         let written = all
             .configuration
             .as_ref()
@@ -93,7 +92,7 @@
         }
         let mut gateway = self.0.gateway();
         gateway.spread.read_all(all.revision, written);
-        let changes = gateway.pool.replace(all.upstreams, now);
+        let changes = gateway.pool.replace(all.upstreams);
         drop(gateway);
         self.0.upstreams_changed(changes);
         self.confirm(asked);
@@ -197,13 +196,12 @@
     }
 
     fn apply(&self, changes: Vec<Published>) {
-        let now = self.now();
         let mut news = Vec::new();
         let mut gateway = self.0.gateway();
         for change in changes {
             match change {
                 Published::Upstream(upstream) => news.extend(gateway.pool.insert(upstream)),
-                Published::Missing(id) => gateway.pool.miss(&id, now),
+                Published::Missing(id) => gateway.pool.miss(&id),
                 Published::Configuration => {}
             }
         }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -4,13 +4,10 @@
 //! run can go on after the last whole one. A stream that can't go on breaks off at the caller too,
 //! so that it never looks complete.
 
-use std::time::Duration;
-
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::event::EventId;
 use auburnline_gateway::event::Splitter;
 use auburnline_gateway::pace::Group;
-use auburnline_gateway::request::Refusal;
 use auburnline_http::Body as Incoming;
 use bytes::Bytes;
 use futures::StreamExt as _;
@@ -28,7 +25,6 @@
 use crate::head::Body;
 use crate::head::Broken;
 use crate::tell::Pace;
-use crate::tell::refuse;
 
 /// A stream on its way.
 struct Passage {
@@ -62,7 +58,7 @@
                 let status = reply.status;
                 if status.is_server_error() {
                     flight.failed();
-                    if exchange.plan.route.kind.is_idempotent() && exchange.may_repeat() {
+                    if exchange.may_run_again() {
                         exchange.log_failure("the upstream failed, repeating", &flight);
                         continue;
                     }
@@ -72,24 +68,15 @@
             }
             Sent::Failed { may_repeat: true } => {
                 if let Err(refusal) = exchange.readmit().await {
-                    return end(&exchange, &refusal);
+                    return exchange.end(&refusal);
                 }
             }
             Sent::Failed { may_repeat: false } => return exchange.give_up("no send succeeded"),
-            Sent::Refused(refusal) => return end(&exchange, &refusal),
+            Sent::Refused(refusal) => return exchange.end(&refusal),
         }
     }
 }
 
-/// Ends a request that can't be sent again, true to what may have run.
-fn end(exchange: &Exchange, refusal: &Refusal) -> Response<Body> {
-    if exchange.may_have_run {
-        return exchange.give_up("no upstream is left");
-    }
-    let plan = Some(&exchange.plan);
-    refuse(&exchange.shared, exchange.id(), plan, refusal)
-}
-
 impl Passage {
     fn new(exchange: Exchange, body: Incoming, flight: Flight, after: Option<EventId>) -> Passage {
         Passage {
@@ -182,13 +169,12 @@
 
     /// Goes on at another upstream; returns whether it could.
     async fn resume(&mut self) -> bool {
-        let kind = self.exchange.plan.route.kind;
-        if !kind.is_idempotent() || !self.exchange.may_repeat() {
+        if !self.exchange.may_run_again() {
             return false;
         }
         let after = self.splitter.last();
         loop {
-            let patience = self.patience();
+            let patience = self.exchange.left();
             match self.exchange.send(after, patience).await {
                 Sent::Began(reply, flight) if reply.status.is_success() => {
                     self.body = reply.body;
@@ -203,10 +189,6 @@
         }
     }
 
-    fn patience(&self) -> Duration {
-        self.exchange.left()
-    }
-
     fn log(&mut self, outcome: &'static str) {
         let gateway = self.exchange.shared.gateway();
         let pace = gateway.pace(self.flight.group());
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -8,12 +8,12 @@
 use auburnline_core::id::Step;
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::Coordinator;
-use auburnline_lockstep::coordinator::Note;
-use auburnline_lockstep::coordinator::Send;
 use auburnline_lockstep::layout::Shape;
 use auburnline_lockstep::message::Digest;
 use auburnline_lockstep::message::Members;
 use auburnline_lockstep::message::Show;
+use auburnline_lockstep::told::Note;
+use auburnline_lockstep::told::Send;
 
 /// Time between two questions who serves the service.
 pub(crate) const ASK_PERIOD: Duration = Duration::from_secs(2);
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -4,36 +4,25 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-use auburnline_duty::logging;
 use auburnline_duty::metrics;
+use auburnline_duty::program;
+use auburnline_duty::scrape;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
-use tokio::task::LocalSet;
 
 use crate::engine::Engine;
 use crate::settings::Settings;
 use crate::sidecar::Sidecar;
 
-/// Decisions kept for operators.
-const DECISIONS: usize = 64;
-
 /// Runs a sidecar until it is told to end.
 ///
 /// # Errors
 ///
 /// Returns the system's error if an address can't be had, or the logs or metrics can't start.
 pub fn run<E: Engine + 'static>(settings: Settings, path: &Path, engine: E) -> io::Result<()> {
-    logging::start_on(DECISIONS, io::stdout())?;
-    let metrics = metrics::install()?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let local = LocalSet::new();
-    let outcome = local.block_on(&runtime, main(settings, path, engine, metrics));
-    log::logger().flush();
-    outcome
+    program::run(|metrics| main(settings, path, engine, metrics))
 }
 
 async fn main<E: Engine + 'static>(
@@ -52,7 +41,7 @@
     );
     let socket = UdpSocket::bind(settings.peers).await?;
     let listener = TcpListener::bind(settings.metrics).await?;
-    let serving = auburnline_duty::scrape::serve(listener, metrics);
+    let serving = scrape::serve(listener, metrics);
     let reloading = reload(path.to_owned());
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -10,7 +10,6 @@
 use auburnline_gateway::neighbour::Datagram;
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::coordinator::HOLDER;
-use auburnline_lockstep::coordinator::Send;
 use auburnline_lockstep::layout::Layout;
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Command;
@@ -20,6 +19,7 @@
 use auburnline_lockstep::message::Message;
 use auburnline_lockstep::message::Show;
 use auburnline_lockstep::sight::Epoch;
+use auburnline_lockstep::told::Send;
 use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -45,6 +45,14 @@
 /// Largest datagram.
 const MAX_BYTES: usize = 60 << 10;
 
+/// The sidecar that leads, as it told.
+#[derive(Clone, Copy, Debug)]
+struct Leader {
+    address: SocketAddr,
+    heard: Monotonic,
+    wants_layout: bool,
+}
+
 /// State of one sidecar.
 pub(crate) struct Sidecar<E> {
     settings: Settings,
@@ -56,8 +64,7 @@
     lead: Option<Lead>,
     members: Option<Members>,
     asked: Option<Monotonic>,
-    /// Who leads, when that was heard, and whether the layout is asked for.
-    leader: Option<(SocketAddr, Monotonic, bool)>,
+    leader: Option<Leader>,
     counts: Counts,
     counted: Option<Monotonic>,
     /// When the rank was looked at last.
@@ -194,7 +201,7 @@
     async fn held(&self) -> Option<Vec<Vec<u16>>> {
         let is_asked = match &self.lead {
             Some(lead) => lead.wants_layout(),
-            None => self.leader.is_some_and(|(_, _, wants_layout)| wants_layout),
+            None => self.leader.is_some_and(|leader| leader.wants_layout),
         };
         if !is_asked {
             return None;
@@ -209,12 +216,11 @@
 
     async fn show(&mut self, show: Show) {
         let now = self.clock.now();
-        let leader = self.leader;
-        let Some((leader, _, _)) = leader.filter(|(_, at, _)| now.saturating_sub(*at) < LEAD_AGE)
-        else {
+        let is_fresh = |leader: &Leader| now.saturating_sub(leader.heard) < LEAD_AGE;
+        let Some(leader) = self.leader.filter(is_fresh) else {
             return;
         };
-        self.tell(&Message::Show(show), leader).await;
+        self.tell(&Message::Show(show), leader.address).await;
     }
 
     async fn lead(&mut self, show: Show) {
@@ -347,7 +353,11 @@
             }
             Message::Lead(word) => {
                 if self.group.as_ref() == Some(&word.group) {
-                    self.leader = Some((from, now, word.wants_layout));
+                    self.leader = Some(Leader {
+                        address: from,
+                        heard: now,
+                        wants_layout: word.wants_layout,
+                    });
                 }
             }
             Message::Show(show) => {
