Wait for the reforming of groups of the request's own service only

Found by reading: the time since when groups are shut was that of the last one of any service, so a group of another service that shut just now made requests wait for one that has been shut for seconds. Test failed first: a_group_of_another_service_that_shuts_makes_nobody_wait.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -72,8 +72,10 @@
     /// Decides on a request while all groups are shut: a group that shut just now may form anew at once.
     fn await_reform(&mut self, plan: &Plan, engine: &Engine, now: Monotonic) -> Admission {
         let reform = engine.form.mul_f64(REFORM_FORMS);
-        let shut_since = self.groups.shut_since().unwrap_or(plan.arrived);
-        let until = (shut_since + reform).min(plan.arrived + reform);
+        let loads = self.pool.loads(&plan.service);
+        let groups = loads.map(|(upstream, _)| self.group_of(upstream));
+        let shut_since = self.groups.shut_since(groups).unwrap_or(plan.arrived);
+        let until = shut_since.min(plan.arrived) + reform;
         if now < until {
             return Admission::Wait(until.min(now + REFORM_LOOK));
         }
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -87,9 +87,9 @@
         is_said || suspected.is_some_and(|at| now.saturating_sub(*at) < SUSPECT_AGE)
     }
 
-    /// Returns since when the group that shut last has been so; none if none has.
-    #[must_use]
-    pub fn shut_since(&self) -> Option<Monotonic> {
-        self.shut.values().max().copied()
+    /// Returns since when the one of `groups` that shut last has been so; none if none has.
+    pub fn shut_since(&self, groups: impl Iterator<Item = GroupId>) -> Option<Monotonic> {
+        let since = groups.filter_map(|group| self.shut.get(&group).copied());
+        since.max()
     }
 }
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -175,6 +175,18 @@
     );
 }
 
+/// Pattern: one service's group has been shut for seconds when that of another service shuts.
+#[gtest]
+fn a_group_of_another_service_that_shuts_makes_nobody_wait() {
+    let mut gateway = gateway(12);
+    gateway.groups.suspect(&"model".into(), millis(1_000));
+    gateway.groups.suspect(&"model".into(), millis(2_900));
+    gateway.groups.suspect(&"elsewhere".into(), millis(2_950));
+    let plan = ask(&mut gateway, "/draft/", Some("key-1"), 3_000).expect("a plan");
+    let refused = gateway.admit(&plan, millis(3_000));
+    assert_that!(refused, matches_pattern!(Admission::Refuse(anything())));
+}
+
 /// A rank that is full refuses, and its group serves on.
 #[gtest]
 fn a_full_rank_does_not_shut_its_group() {
