--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -70,8 +70,6 @@
     pub objective: Duration,
     /// Longest pause between two events that callers aim at; none if answers are not streams.
     pub longest_pause: Option<Duration>,
-    /// Rank, 0 first.
-    pub priority: u8,
     /// Services, each with its share.
     pub targets: Vec<Target>,
     /// Most upstreams that one attempt of a caller may be sent to.
@@ -93,10 +91,6 @@
     pub per_request: Duration,
     /// Time that 1,000 tokens of context add to a step.
     pub per_context: Duration,
-    /// Prompt tokens that a rank reads in a second.
-    pub read_rate: f64,
-    /// Most prompt tokens read in one step.
-    pub chunk: u32,
     /// Mean tokens of a prompt.
     pub usual_prompt: f64,
     /// Mean tokens of an answer.
@@ -112,8 +106,6 @@
 pub struct Service {
     /// Name.
     pub name: ServiceId,
-    /// Most connections that one upstream takes from all callers.
-    pub max_connections: u32,
     /// Cost model, where the service is a group of ranks.
     pub engine: Option<Engine>,
 }
@@ -125,9 +117,7 @@
     pub header_bytes: usize,
     /// Most bytes of a request's body.
     pub body_bytes: usize,
-    /// Longest time for a head or body to arrive.
-    pub arrival: Duration,
-    /// Longest time that a connection may stay idle.
+    /// Longest time that a connection may stay idle, and that a body may take to arrive.
     pub idle: Duration,
 }
 
@@ -136,8 +126,6 @@
 pub struct Workspace {
     /// Name.
     pub name: WorkspaceId,
-    /// Rank that goes before the route's; none if the route's holds.
-    pub priority: Option<u8>,
 }
 
 /// What a table is built from.
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -22,8 +22,6 @@
     step: Duration::from_micros(5_850),
     per_request: Duration::from_micros(355),
     per_context: Duration::from_micros(36),
-    read_rate: 61_200.0,
-    chunk: 512,
     usual_prompt: 835.0,
     usual_answer: 139.0,
     form: Duration::from_millis(600),
@@ -43,7 +41,6 @@
         timeout: millis(8_000),
         objective: millis(400),
         longest_pause: kind.is_stream().then(|| millis(120)),
-        priority: 1,
         targets: vec![Target {
             service: service.into(),
             weight: 1,
@@ -56,12 +53,10 @@
 pub(crate) fn content(version: u64, routes: Vec<Route>) -> Content {
     let service = |name: &str, engine| Service {
         name: name.into(),
-        max_connections: 100,
         engine,
     };
     let workspace = Workspace {
         name: "valley".into(),
-        priority: None,
     };
     Content {
         version,
@@ -71,7 +66,6 @@
         limits: Limits {
             header_bytes: 16_384,
             body_bytes: 1 << 20,
-            arrival: millis(3_000),
             idle: millis(15_000),
         },
     }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -41,8 +41,8 @@
 
 /// Bound on a body before a configuration tells one.
 const FIRST_BODY_BYTES: usize = 1 << 20;
-/// Bound on the arrival of a body before a configuration tells one.
-const FIRST_ARRIVAL: Duration = Duration::from_secs(3);
+/// Longest time for a body to arrive before a configuration tells one.
+const FIRST_PATIENCE: Duration = Duration::from_secs(3);
 /// Sends that may fail before they reach an upstream; these run nowhere and cost no retry budget.
 const MAX_UNSENT: usize = 3;
 
@@ -124,8 +124,8 @@
 async fn read(shared: &Shared, body: Incoming) -> Result<Bytes, Kind> {
     let limits = shared.gateway().table().map(|table| table.limits());
     let most = limits.map_or(FIRST_BODY_BYTES, |limits| limits.body_bytes);
-    let arrival = limits.map_or(FIRST_ARRIVAL, |limits| limits.idle);
-    let collected = timeout(arrival, Limited::new(body, most).collect()).await;
+    let patience = limits.map_or(FIRST_PATIENCE, |limits| limits.idle);
+    let collected = timeout(patience, Limited::new(body, most).collect()).await;
     match collected {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Kind::TooLarge),
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -20,6 +20,19 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Counts(pub Vec<u64>);
 
+impl Counts {
+    /// Returns the choices since an earlier count; all of this one if the rank started anew.
+    pub(crate) fn since(&self, before: &Counts) -> Vec<u32> {
+        let is_same = before.0.len() == self.0.len();
+        let is_grown = is_same && before.0.iter().zip(&self.0).all(|(old, new)| new >= old);
+        let differences = self.0.iter().enumerate().map(|(index, new)| {
+            let old = if is_grown { before.0[index] } else { 0 };
+            u32::try_from(new - old).unwrap_or(u32::MAX)
+        });
+        differences.collect()
+    }
+}
+
 /// How an engine answered an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply {
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -194,7 +194,7 @@
         };
         self.counted = Some(now);
         let before = std::mem::replace(&mut self.counts, counts);
-        difference(&before, &self.counts)
+        self.counts.since(&before)
     }
 
     /// Returns the experts that the rank holds, if they were asked for.
@@ -393,14 +393,3 @@
         }
     }
 }
-
-/// Returns the choices between two counts; all of the later one if the rank started anew.
-fn difference(before: &Counts, after: &Counts) -> Vec<u32> {
-    let is_same = before.0.len() == after.0.len();
-    let is_grown = is_same && before.0.iter().zip(&after.0).all(|(old, new)| new >= old);
-    let differences = after.0.iter().enumerate().map(|(index, new)| {
-        let old = if is_grown { before.0[index] } else { 0 };
-        u32::try_from(new - old).unwrap_or(u32::MAX)
-    });
-    differences.collect()
-}
