One upstream an address: what died there gets no work once a newer one is listed

Ruled out: gateways that were late (all ready within 0.1 s of their start) and a group that formed slowly (epoch 2 at 36.3 to 36.5 s).

Test failed first: of_two_upstreams_at_one_address_only_the_one_that_appeared_last_gets_work.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,12 +1,14 @@
 //! Upstreams that may take work, and the choice among them.
 //!
 //! A [`Pool`] follows the published list: an upstream that leaves gets no new work from then on, and
-//! one that is missing after the store was away is kept for a moment, since it may be written anew.
+//! one that is missing after the store was away is kept for a moment, since it may be written anew. An
+//! address has one upstream: of several that are listed there, all but the newest are gone already.
 //! The choice counts what this gateway and its neighbours have in flight at each upstream, and what
 //! its last answers showed: failures that are fresh, and times longer than its peers'.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +20,7 @@
 use serde::Serialize;
 
 use crate::route::ServiceId;
+use crate::spread::Revision;
 
 /// Id of one incarnation of an upstream.
 pub type UpstreamId = Arc<str>;
@@ -65,6 +68,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: State,
+    /// Revision at which it came onto the list.
+    pub appeared: Revision,
 }
 
 /// How an exchange with an upstream ended.
@@ -186,11 +191,15 @@
     neighbours: HashMap<u64, (Monotonic, HashMap<u32, u32>)>,
     /// Sum of the neighbours' counts.
     elsewhere: HashMap<u32, u32>,
+    /// When the newest upstream at each address appeared.
+    newest: HashMap<SocketAddr, Revision>,
 }
 
 impl Pool {
     /// Takes an upstream as written to the list.
     pub fn insert(&mut self, upstream: Upstream) -> Option<Change> {
+        let newest = self.newest.entry(upstream.address).or_default();
+        *newest = upstream.appeared.max(*newest);
         let known = self.members.get_mut(&upstream.id);
         let Some(member) = known else {
             let member = Member::new(upstream);
@@ -239,6 +248,11 @@
             }
             !member.is_missing
         });
+        if !gone.is_empty() {
+            let members = self.members.values();
+            let used: HashSet<_> = members.map(|member| member.upstream.address).collect();
+            self.newest.retain(|address, _| used.contains(address));
+        }
         gone
     }
 
@@ -274,7 +288,15 @@
     /// Returns all upstreams of a service that take work.
     fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Member> {
         let members = self.members.values();
-        members.filter(move |member| member.takes_work() && *member.upstream.service == *service)
+        members.filter(move |member| {
+            let is_asked = *member.upstream.service == *service;
+            is_asked && member.takes_work() && self.is_newest(&member.upstream)
+        })
+    }
+
+    fn is_newest(&self, upstream: &Upstream) -> bool {
+        let newest = self.newest.get(&upstream.address);
+        newest.is_none_or(|newest| upstream.appeared >= *newest)
     }
 
     /// Returns each upstream of a service that takes work, with its requests in flight from all gateways.
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -89,5 +89,6 @@
         failure_domain: Arc::from("north"),
         slots: 12,
         state,
+        appeared: 0,
     }
 }
--- a/crates/gateway/tests/all/upstream.rs
+++ b/crates/gateway/tests/all/upstream.rs
@@ -5,6 +5,7 @@
 use auburnline_gateway::upstream::Pool;
 use auburnline_gateway::upstream::Preference;
 use auburnline_gateway::upstream::State;
+use auburnline_gateway::upstream::Upstream;
 use auburnline_gateway::upstream::UpstreamId;
 use auburnline_gateway::upstream::tag;
 use googletest::prelude::*;
@@ -132,3 +133,25 @@
     assert_that!(changes, is_empty());
     assert_that!(pool.expire(false), len(eq(2)));
 }
+
+/// Pattern: all instances lose power and start again, and the list names the ones that died for about a second
+/// still (incident inc-0f39: half of the sends of that second went to them).
+#[gtest]
+fn of_two_upstreams_at_one_address_only_the_one_that_appeared_last_gets_work() {
+    let at = |id: &str, appeared| Upstream {
+        appeared,
+        ..upstream(id, "desk", State::Ready)
+    };
+    for order in [["old", "new"], ["new", "old"]] {
+        let mut pool = Pool::default();
+        for id in order {
+            pool.insert(at(id, if id == "new" { 90 } else { 5 }));
+        }
+        assert_that!(pool.ready("desk"), eq(1));
+        let chosen = choose(&pool, Preference::EvenLoad, &[], 0);
+        assert_that!(chosen, some(eq("new")));
+        pool.miss("old");
+        assert_that!(pool.expire(false), len(eq(1)));
+        assert_that!(pool.ready("desk"), eq(1));
+    }
+}
