Let the drill of a hot expert begin from the generation that it saw

Between the two calls the number was unknown again, so it compared with '-', which never holds, and gave up after 2,000 drafts with 'no change of map came'. Ruled out: a change that did not come; the printed lines are the shell's own complaint about '-' in an arithmetic comparison. Now the number that was shown is the one compared with; what the drill asks for is as strict.

--- a/examples/drills/hot-expert.sh
+++ b/examples/drills/hot-expert.sh
@@ -4,9 +4,13 @@
 . "$(dirname "$0")/common.sh"
 
 map_of() { ctl status | awk '$1 == "drafts-milimani" { print $5 }'; }
-known() { [[ $(map_of) =~ ^[0-9]+$ ]]; }
+before=""
+# A generation that was shown may be unknown again at the next look, until all slots have told theirs.
+known() {
+  before=$(map_of)
+  [[ $before =~ ^[0-9]+$ ]]
+}
 await 20 known || fail "no map generation is shown"
-before=$(map_of)
 for j in 0 1 2 3; do
   curl -sf -X POST -d '{"hot":[{"layer":0,"expert":3,"popularity":40},{"layer":1,"expert":3,"popularity":40}]}' \
     "http://127.0.0.1:$((21600 + j))/test/fault" >/dev/null || fail "the engine took no fault"
