Pass over a group that lost two requests one after the other

Cause: an upstream that takes requests and goes silent looks the least loaded and draws all work; the judge needs five ends in a window of twenty for each group. A refusal is answered at once, is not run and costs nothing; only requests that were taken and never answered count now.

--- a/crates/entry/src/state/ejection.rs
+++ b/crates/entry/src/state/ejection.rs
@@ -31,12 +31,37 @@
 /// Ends of sends without which a group isn't judged; a few a minute reach one from one entry.
 const VOLUME: u32 = 5;
 
+/// Requests lost one after the other at which a group is passed over, though too few have ended to judge
+/// it: an upstream that takes requests and goes silent looks the least loaded, and would draw all work.
+const STRIKES: u32 = 2;
+/// Time for which it is passed over; then requests try it, and the first loss passes it over again.
+const PASSED_OVER: Duration = Duration::from_secs(8);
+
+/// How a send ended, as far as that speaks for or against its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    /// Answered whole.
+    Served,
+    /// Refused at once and not run: the request goes elsewhere, and the judge needs all such ends.
+    Refused,
+    /// Taken and never answered whole.
+    Lost,
+}
+
+/// Requests that a group lost since it last served one.
+#[derive(Clone, Copy)]
+struct Strikes {
+    count: u32,
+    last: Monotonic,
+}
+
 /// One pool's groups of one model.
 struct Pool {
     outliers: Outliers<GroupId>,
     members: usize,
     /// Groups that are marked as ejected, since when.
     marked: BTreeMap<GroupId, Monotonic>,
+    strikes: BTreeMap<GroupId, Strikes>,
     began: Monotonic,
     seen: usize,
 }
@@ -57,11 +82,47 @@
             outliers: Outliers::new(settings),
             members: 0,
             marked: BTreeMap::new(),
+            strikes: BTreeMap::new(),
             began: now,
             seen: 0,
         }
     }
 
+    /// Counts requests lost one after the other.
+    fn strike(&mut self, now: Monotonic, group: &GroupId, end: End) {
+        match end {
+            End::Served => {
+                self.strikes.remove(group);
+                return;
+            }
+            End::Refused => return,
+            End::Lost => {}
+        }
+        let strikes = self.strikes.entry(group.clone());
+        let strikes = strikes.or_insert(Strikes {
+            count: 0,
+            last: now,
+        });
+        strikes.count += 1;
+        strikes.last = now;
+        if strikes.count == STRIKES {
+            log::info!(
+                target: "decision",
+                group = &**group,
+                lost = strikes.count,
+                out_ms = PASSED_OVER.as_millis();
+                "pass_over"
+            );
+        }
+    }
+
+    fn is_passed_over(&self, now: Monotonic, group: &GroupId) -> bool {
+        let strikes = self.strikes.get(group);
+        strikes.is_some_and(|strikes| {
+            strikes.count >= STRIKES && now.saturating_sub(strikes.last) < PASSED_OVER
+        })
+    }
+
     /// Whether a window may end: with enough seen, or after its longest time.
     fn is_due(&self, now: Monotonic) -> bool {
         let length = now.saturating_sub(self.began);
@@ -117,19 +178,21 @@
             let groups = members.get(shard).map_or(&[][..], Vec::as_slice);
             pool.outliers.set_members(now, groups);
             pool.members = groups.len();
+            pool.strikes.retain(|group, _| groups.contains(group));
             pool.give_back(now, &shard.0, "members_changed", router);
         }
         self.pools.retain(|shard, _| members.contains_key(shard));
     }
 
     /// Records the end of a send.
-    pub(crate) fn record(&mut self, shard: &Shard, group: &GroupId, served: bool) {
+    pub(crate) fn record(&mut self, now: Monotonic, shard: &Shard, group: &GroupId, end: End) {
         let Some(pool) = self.pools.get_mut(shard) else {
             return;
         };
         pool.seen += 1;
-        pool.outliers
-            .record(group, served.then_some(Duration::ZERO));
+        pool.strike(now, group, end);
+        let served = (end == End::Served).then_some(Duration::ZERO);
+        pool.outliers.record(group, served);
     }
 
     /// Returns the part of its usual work that a group gets.
@@ -146,6 +209,10 @@
         group: &GroupId,
         rng: &mut impl Rng,
     ) -> bool {
+        let pool = self.pools.get(shard);
+        if pool.is_some_and(|pool| pool.is_passed_over(now, group)) {
+            return false;
+        }
         let part = self.part(now, shard, group);
         part >= 1.0 || rng.random::<f64>() < part
     }
--- a/crates/entry/src/state/retry.rs
+++ b/crates/entry/src/state/retry.rs
@@ -13,6 +13,7 @@
 use auburnline_attempt::attempt::Attempt;
 use auburnline_attempt::attempt::Fresh;
 use auburnline_core::answer::Failure;
+use auburnline_core::error::Fate;
 use auburnline_core::error::Kind;
 use auburnline_core::id::GroupId;
 use auburnline_core::id::InstanceId;
@@ -32,6 +33,7 @@
 use auburnline_retries::policy::Refusal;
 
 use crate::state::State;
+use crate::state::ejection::End;
 use crate::state::ejection::Pools;
 use crate::state::ejection::Shard;
 use crate::state::exchange::Exchange;
@@ -234,13 +236,15 @@
         let Some(group) = self.admits.get(slot) else {
             return;
         };
-        let served = match kind {
-            None => true,
-            Some(kind) if blames(kind) => false,
-            Some(_) => return,
+        let end = match kind {
+            None => End::Served,
+            Some(kind) if !blames(kind) => return,
+            Some(kind) if kind.row().fate == Fate::NotRun => End::Refused,
+            Some(_) => End::Lost,
         };
+        let now = self.clock.now();
         let pools = &mut self.retries.pools;
-        pools.record(&shard(exchange), group, served);
+        pools.record(now, &shard(exchange), group, end);
     }
 
     /// Forgets budgets that are full, and ends the windows of ejection.
