Give each entry a share of a sixteenth of every limit that needs no home

Cause: an entry that can't reach the home of a workspace's limit while the list calls that home live gets no grants and answers limit_exceeded, so a half of a partition is not served. Ruled out: a softer rule on who lives, which could let two homes grant the whole at once. Homes now grant fifteen sixteenths; the rest is split over the published entries, fills only once the list has stood for a hold, holds no debt, and is used where a request would be refused.

--- a/crates/entry/src/state/limit.rs
+++ b/crates/entry/src/state/limit.rs
@@ -22,6 +22,7 @@
 use auburnline_limits::lease::Grants;
 use auburnline_limits::lease::Home;
 use auburnline_limits::lease::Limit;
+use auburnline_limits::lease::Reserve;
 use auburnline_limits::lease::Settings;
 use auburnline_limits::lease::View;
 use auburnline_operator::shape;
@@ -47,6 +48,7 @@
     view: View,
     home: Home,
     holder: Holder,
+    reserve: Reserve,
     entries: Option<(BTreeSet<InstanceId>, BTreeSet<InstanceId>)>,
     homes: BTreeMap<InstanceId, Monotonic>,
     counts: BTreeMap<WorkspaceId, Counts>,
@@ -74,6 +76,7 @@
             view: View::new(now, me, settings.hold),
             home: Home::new(settings),
             holder: Holder::new(settings, incarnation),
+            reserve: Reserve::new(now, &settings),
             entries: None,
             homes: BTreeMap::new(),
             counts: BTreeMap::new(),
@@ -119,6 +122,23 @@
         self.charged(stream, verdict);
     }
 
+    /// Pays a request that no home's grant covers out of this entry's own part of the limit.
+    fn pay_from_reserve(&mut self, workspace: &WorkspaceId, tokens: u64) -> bool {
+        let now = self.clock.now();
+        let Some(checked) = self.configurations.in_force() else {
+            return false;
+        };
+        let Some(published) = checked.workspaces().workspaces.get(workspace) else {
+            return false;
+        };
+        let limit = Limit::of(published, checked.preset().limit_factor);
+        let is_paid = self.limits.reserve.spend(now, workspace, limit, tokens);
+        if is_paid {
+            log::debug!(target: "decision", workspace = &**workspace, tokens; "paid from reserve");
+        }
+        is_paid
+    }
+
     /// Charges again what waits for a grant.
     fn pay(&mut self, stream: Stream) {
         let now = self.clock.now();
@@ -136,19 +156,16 @@
             return;
         };
         let workspace = exchange.request.workspace.clone();
-        let counts = self.limits.counts.entry(workspace).or_default();
+        let tokens = exchange.query.tokens();
         match verdict {
-            Verdict::Admitted(charge) => {
-                counts.granted += charge.tokens();
-                exchange.charge = Some(charge);
-                if let Phase::Paying(attempt) = exchange.take() {
-                    exchange.phase = Phase::Fresh(attempt);
-                    self.route(stream);
-                }
-            }
+            Verdict::Admitted(charge) => self.paid(stream, charge.tokens(), Some(charge)),
             Verdict::Pending(_) => {}
+            Verdict::Refused(_) if self.pay_from_reserve(&workspace, tokens) => {
+                // Nothing of it goes back: the reserve fills by itself.
+                self.paid(stream, tokens, None);
+            }
             Verdict::Refused(refusal) => {
-                counts.refused += 1;
+                self.limits.counts.entry(workspace).or_default().refused += 1;
                 let Some(mut exchange) = self.exchanges.remove(&stream) else {
                     return;
                 };
@@ -161,6 +178,20 @@
         }
     }
 
+    /// Sends on a request that is paid for; `charge` is what may go back.
+    fn paid(&mut self, stream: Stream, tokens: u64, charge: Option<Charge>) {
+        let Some(exchange) = self.exchanges.get_mut(&stream) else {
+            return;
+        };
+        let workspace = exchange.request.workspace.clone();
+        self.limits.counts.entry(workspace).or_default().granted += tokens;
+        exchange.charge = charge;
+        if let Phase::Paying(attempt) = exchange.take() {
+            exchange.phase = Phase::Fresh(attempt);
+            self.route(stream);
+        }
+    }
+
     /// Gives back what a request was charged and is known not to have used.
     pub(crate) fn credit(&mut self, charge: Option<Charge>, end: Option<&Part>, prompt: u64) {
         let now = self.clock.now();
@@ -214,8 +245,9 @@
 
     /// Follows membership, asks homes for what is due, and ends what waited long enough.
     pub(crate) fn tick_limits(&mut self, now: Monotonic) {
-        self.limits.view.tick(now);
         let limits = &mut self.limits;
+        limits.view.tick(now);
+        limits.reserve.tick(now);
         limits.home.tick(now, &limits.view);
         self.ask_homes(now);
         self.pay_all();
@@ -262,6 +294,7 @@
         if entries != self.limits.entries {
             if let Some((published, live)) = &entries {
                 self.limits.view.observe(now, published, live);
+                self.limits.reserve.observe(now, published.len());
             }
             self.limits.entries = entries;
         }
--- a/crates/limits/examples/table/world.rs
+++ b/crates/limits/examples/table/world.rs
@@ -13,6 +13,7 @@
 use auburnline_limits::lease::Grants;
 use auburnline_limits::lease::Home;
 use auburnline_limits::lease::Limit;
+use auburnline_limits::lease::Reserve;
 use auburnline_limits::lease::Settings;
 use auburnline_limits::lease::View;
 use rand::Rng;
@@ -111,6 +112,7 @@
     view: View,
     home: Home,
     holder: Holder,
+    reserve: Reserve,
     views: Vec<(Duration, BTreeSet<InstanceId>)>,
     local: BTreeMap<usize, (f64, Duration)>,
     pending: Vec<(usize, u64, Duration)>,
@@ -155,6 +157,7 @@
 
 enum Paid {
     Leased(Charge),
+    Reserved(u64),
     Local(u64),
 }
 
@@ -370,7 +373,7 @@
             let truth = &mut self.truths[workspace];
             let tokens = match &paid {
                 Paid::Leased(charge) => charge.tokens(),
-                Paid::Local(tokens) => *tokens,
+                Paid::Reserved(tokens) | Paid::Local(tokens) => *tokens,
             };
             let unused = (tokens - used) as f64;
             truth.net -= unused;
@@ -381,6 +384,8 @@
             let node = &mut self.nodes[index];
             match paid {
                 Paid::Leased(charge) => node.holder.credit(self.now, charge, used),
+                // The reserve fills by itself.
+                Paid::Reserved(_) => {}
                 Paid::Local(_) => {
                     let local = node.local.entry(workspace).or_insert((0.0, self.now));
                     local.0 += unused;
@@ -435,10 +440,25 @@
         match verdict {
             Verdict::Admitted(charge) => self.pay(index, workspace, Paid::Leased(charge), cost),
             Verdict::Pending(_) => self.nodes[index].pending.push((workspace, cost, since)),
+            Verdict::Refused(_) if self.reserved(index, workspace, cost) => {
+                self.pay(index, workspace, Paid::Reserved(cost), cost);
+            }
             Verdict::Refused(_) => self.truths[workspace].refused += cost,
         }
     }
 
+    /// Spends from an entry's own part of the limit; what it gives counts like a home's grants.
+    fn reserved(&mut self, index: usize, workspace: usize, cost: u64) -> bool {
+        let truth = &mut self.truths[workspace];
+        let reserve = &mut self.nodes[index].reserve;
+        let is_paid = reserve.spend(self.now, &truth.name, truth.limit, cost);
+        if is_paid {
+            truth.granted -= cost as f64;
+            truth.worst_granted = truth.worst_granted.max(-truth.granted);
+        }
+        is_paid
+    }
+
     fn request_local(&mut self, index: usize, workspace: usize, cost: u64) {
         let limit = self.truths[workspace].limit;
         let parts = match self.plan.policy {
@@ -487,8 +507,10 @@
                 &self.published
             };
             node.view.observe(now, published, &live);
+            node.reserve.observe(now, published.len());
         }
         node.view.tick(now);
+        node.reserve.tick(now);
         node.home.tick(now, &node.view);
         for (workspace, cost, since) in std::mem::take(&mut node.pending) {
             let name = &self.truths[workspace].name;
@@ -541,6 +563,7 @@
             view: View::new(now, id.clone(), plan.settings.hold),
             home: Home::new(plan.settings),
             holder: Holder::new(plan.settings, incarnation),
+            reserve: Reserve::new(now, &plan.settings),
             views: Vec::new(),
             local: BTreeMap::new(),
             pending: Vec::new(),
--- a/crates/limits/src/lease/mod.rs
+++ b/crates/limits/src/lease/mod.rs
@@ -8,21 +8,27 @@
 //! more, it grants only after that view has stood for one hold, while what it must grant less, it
 //! grants less at once. A hold is longer than a lease, so what an older home granted has ended.
 //!
+//! A small part of each limit is granted by no home: every entry has its own share of that
+//! ([`Reserve`]), so that one which no home answers is not idle.
+//!
 //! The rules need views that agree within a hold. Views that stay one-sided (an entry sees another
 //! that does not see it) can make two homes grant at once; membership has to take such a pair as
 //! not seen on both sides.
 
+mod account;
 mod home;
 mod message;
+mod reserve;
 mod share;
 mod view;
 
+pub use account::Limit;
 pub use home::Home;
-pub use home::Limit;
 pub use message::Ask;
 pub use message::Grant;
 pub use message::Grants;
 pub use message::Want;
+pub use reserve::Reserve;
 pub use view::View;
 
 use std::time::Duration;
