Hold two passes ahead in place of three

Cause: a change waits three passes (0.2 to 0.3 s) between its last copy and its switch, while hold and arms are given and seen within 45 ms, less than one pass. A loss costs 40 ms and still fits. Ruled out: one pass ahead, where a hold that comes as the pass begins is refused.

--- a/crates/lockstep/src/coordinator.rs
+++ b/crates/lockstep/src/coordinator.rs
@@ -44,7 +44,7 @@
 /// Passes between the newest one seen and the one to hold. The orders take less than a pass; one that
 /// comes too late is refused and given again for a later pass, and a hold that stands early makes the
 /// group wait some milliseconds.
-const AHEAD: Step = 3;
+const AHEAD: Step = 2;
 
 #[derive(Clone, Debug)]
 struct Member {
