Count choices each 100 ms, and compare windows that move on by half

Now the newest 0.1 s alone tells a clear shift, and two halves a flatter one; if the shift lies between them only the newer half is kept. The tests of popularity stay as they are.

--- a/crates/lockstep/src/popularity.rs
+++ b/crates/lockstep/src/popularity.rs
@@ -13,13 +13,15 @@
 
 /// Time in which a choice fades to a third. Shorter, single long prompts pass for popularity.
 const FADE: Duration = Duration::from_millis(1_500);
-/// Time over which choices are gathered before they are compared with what is known: a report of each
-/// rank.
-const WINDOW: Duration = Duration::from_millis(200);
+/// Time over which choices are gathered before they are compared with what is known, the newest half of a
+/// window: with a whole one each, a shift was seen 0.4 s after it came.
+const HALF: Duration = Duration::from_millis(100);
 /// Distance between a window's shares and the known ones, as the sum of differences (0 to 2), that
 /// tells a shift. Windows of one popularity differ by 0.1 to 0.35 on the users' days; shifts by 0.65 to 1
 /// where few experts draw most choices, and by 0.5 to 0.6 where demand is flatter.
 const SHIFT: f64 = 0.42;
+/// The same for half a window, whose chance is larger by the root of two.
+const SHIFT_OF_HALF: f64 = 0.52;
 /// Choices of a layer for each expert from which on its shares are believed: a few prompts. One window
 /// of a busy group is enough, so that a shift can be answered at once.
 const LEAST_PER_EXPERT: f64 = 100.0;
@@ -32,7 +34,9 @@
 pub struct Popularity {
     experts: usize,
     known: Counts,
-    window: Counts,
+    /// Halves of the window: the one before, and the one that is open.
+    earlier: Counts,
+    newest: Counts,
     opened: Monotonic,
 }
 
@@ -44,7 +48,8 @@
         Popularity {
             experts,
             known: none.clone(),
-            window: none,
+            earlier: none.clone(),
+            newest: none,
             opened: Monotonic::ZERO,
         }
     }
@@ -53,43 +58,68 @@
     /// distance if they tell a shift.
     pub fn add(&mut self, choices: &[u32], now: Monotonic) -> Option<f64> {
         let layers = choices.chunks_exact(self.experts.max(1));
-        for (counts, choices) in self.window.iter_mut().zip(layers) {
+        for (counts, choices) in self.newest.iter_mut().zip(layers) {
             for (count, chosen) in counts.iter_mut().zip(choices) {
                 *count += f64::from(*chosen);
             }
         }
         let passed = now.saturating_sub(self.opened);
-        if passed < WINDOW {
+        if passed < HALF {
             return None;
         }
         self.opened = now;
         self.close(passed)
     }
 
-    /// Adds the window to what is known.
+    /// Compares the window with what is known, and moves on by half of it.
     fn close(&mut self, passed: Duration) -> Option<f64> {
-        let distance = self.distance();
-        let shift = distance.filter(|distance| *distance > SHIFT);
-        let part = if shift.is_some() {
-            0.0
-        } else {
-            (-passed.as_secs_f64() / FADE.as_secs_f64()).exp()
-        };
-        let counts = self.known.iter_mut().flatten();
-        for (known, new) in counts.zip(self.window.iter_mut().flatten()) {
-            *known = *known * part + *new;
-            *new = 0.0;
+        let shift = self.shift();
+        if shift.is_some() {
+            // The older half may hold choices from before the shift.
+            self.known
+                .iter_mut()
+                .flatten()
+                .for_each(|count| *count = 0.0);
+            if self
+                .distance(&self.newest, &self.earlier)
+                .is_some_and(|distance| distance > SHIFT)
+            {
+                self.earlier
+                    .iter_mut()
+                    .flatten()
+                    .for_each(|count| *count = 0.0);
+            }
+        }
+        let part = (-passed.as_secs_f64() / FADE.as_secs_f64()).exp();
+        let halves = self
+            .earlier
+            .iter_mut()
+            .flatten()
+            .zip(self.newest.iter_mut().flatten());
+        for (known, (earlier, newest)) in self.known.iter_mut().flatten().zip(halves) {
+            *known = *known * part + *earlier;
+            *earlier = std::mem::take(newest);
         }
         shift
     }
 
-    /// Returns how far the window's shares lie from the known ones, mean of all layers.
-    fn distance(&self) -> Option<f64> {
-        let known = shares(&self.known, self.least())?;
-        let window = shares(&self.window, self.least())?;
-        let layers = known.len().max(1);
-        let differences = known.iter().flatten().zip(window.iter().flatten());
-        let sum: f64 = differences.map(|(old, new)| (old - new).abs()).sum();
+    /// Returns how far the window lies from what is known, if that tells a shift.
+    fn shift(&self) -> Option<f64> {
+        let known = sum(&self.known, &self.earlier);
+        let newest = self.distance(&self.newest, &known);
+        let window = sum(&self.earlier, &self.newest);
+        let window = self.distance(&window, &self.known);
+        let newest = newest.filter(|distance| *distance > SHIFT_OF_HALF);
+        newest.or(window.filter(|distance| *distance > SHIFT))
+    }
+
+    /// Returns how far the shares of two counts lie apart, mean of all layers.
+    fn distance(&self, one: &Counts, other: &Counts) -> Option<f64> {
+        let one = shares(one, self.least())?;
+        let other = shares(other, self.least())?;
+        let layers = one.len().max(1);
+        let differences = one.iter().flatten().zip(other.iter().flatten());
+        let sum: f64 = differences.map(|(one, other)| (one - other).abs()).sum();
         Some(sum / real(layers))
     }
 
@@ -100,10 +130,16 @@
     /// Returns the shares by layer, once there are enough choices in each.
     #[must_use]
     pub fn shares(&self) -> Option<Vec<Vec<f64>>> {
-        shares(&self.known, self.least())
+        shares(&sum(&self.known, &self.earlier), self.least())
     }
 }
 
+fn sum(one: &Counts, other: &Counts) -> Counts {
+    let layers = one.iter().zip(other);
+    let sums = layers.map(|(one, other)| one.iter().zip(other).map(|(one, other)| one + other));
+    sums.map(Iterator::collect).collect()
+}
+
 fn shares(counts: &Counts, least: f64) -> Option<Vec<Vec<f64>>> {
     let layers = counts.iter().map(|counts| {
         let sum: f64 = counts.iter().sum();
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -35,11 +35,11 @@
 use crate::order::give;
 use crate::settings::Settings;
 
-/// Time between two looks at the rank: a change of demand is seen within two of them, and each
+/// Time between two looks at the rank: a change of demand is seen within two to three of them, and each
 /// costs about half a millisecond of the instance's processor.
-const PERIOD: Duration = Duration::from_millis(200);
+const PERIOD: Duration = Duration::from_millis(100);
 /// Least time between two readings of the counts; a little less than between two looks.
-const COUNT_PERIOD: Duration = Duration::from_millis(180);
+const COUNT_PERIOD: Duration = Duration::from_millis(90);
 /// Time after which a rank is shown though nothing about it changed; a little less than between two looks.
 const SHOW_PERIOD: Duration = Duration::from_millis(180);
 /// Time between two looks while an order awaits its effect.
