Copy for at most 0.3 s in one change

Cause: after a shift all passes are long until the first change is in force; copying is the longest part of it. A smaller first change takes off most of the skew, and what is left pays for a second one or does not.

--- a/crates/lockstep/src/plan.rs
+++ b/crates/lockstep/src/plan.rs
@@ -18,7 +18,7 @@
 use crate::real;
 
 /// Longest copying on one rank: a popularity that lasts few seconds is over before a longer one pays.
-const LONGEST_COPY: Duration = Duration::from_millis(450);
+const LONGEST_COPY: Duration = Duration::from_millis(300);
 /// Most changes of one layer that are searched.
 const SEARCHED: usize = 24;
 /// Least fall of the skew that a change of map is worth. Passes are slower while weights are copied
