Let the sidecar beside rank 1 end a hold whose lead fell silent

This one is told of each hold before it is ordered, acts for that switch only, arms only while it sees the hold itself, releases only once it saw all armed, begins nothing and releases no stray hold. Proof: the exploration and 400 random paths of three ranks with a deputy that acts at any time on looks of any age beside a coordinator that lives, is killed or wakes: no mixed step, none stuck.

--- a/crates/lockstep/src/coordinator.rs
+++ b/crates/lockstep/src/coordinator.rs
@@ -110,6 +110,12 @@
         self.is_whole() && self.members.values().all(|member| member.sight.is_open)
     }
 
+    /// Returns the map of the change under way.
+    #[must_use]
+    pub fn changing(&self) -> Option<Version> {
+        self.change.as_ref().map(Change::version)
+    }
+
     /// Returns the requests that run or wait at each rank.
     #[must_use]
     pub fn requests(&self) -> BTreeMap<Rank, u32> {
--- /dev/null
+++ b/crates/lockstep/src/deputy.rs
@@ -0,0 +1,116 @@
+//! The sidecar beside rank 1, which ends a hold whose lead fell silent.
+//!
+//! A hold does not expire. If the lead freezes or dies between a hold and its release, the whole group stands
+//! still until it is back. So the lead tells the deputy of each hold it is about to order, and a deputy that
+//! then hears nothing takes that one change forward: it arms all ranks for the pledged switch once it saw the
+//! hold itself, and releases once it saw all armed. It begins nothing and ends nothing else. Each of its
+//! orders is one that the lead would give, so both may act at once; what comes after the pass began, or in
+//! another epoch, is refused.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use auburnline_core::id::Rank;
+use auburnline_core::time::Monotonic;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::change::Order;
+use crate::coordinator::HOLDER;
+use crate::sight::Epoch;
+use crate::sight::Sight;
+use crate::sight::Switch;
+
+/// Rank beside which the deputy runs.
+pub const DEPUTY: Rank = 1;
+/// Silence of the lead after which the deputy acts: two of its words. Callers meet a pause of half a second
+/// then, in place of the seconds for which an instance freezes.
+const PATIENCE: Duration = Duration::from_millis(400);
+/// Time after which a pledge is forgotten: a group that still stands then has another cause.
+const LIFE: Duration = Duration::from_secs(20);
+
+/// A hold that the lead is about to order.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Pledge {
+    /// Group.
+    pub group: String,
+    /// Epoch in which it holds.
+    pub epoch: Epoch,
+    /// Switch that all ranks are to be armed for.
+    pub switch: Switch,
+    /// Sidecars of the other ranks.
+    pub sidecars: Vec<(Rank, SocketAddr)>,
+    /// Engine that holds.
+    pub holder: SocketAddr,
+}
+
+/// State of the deputy.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Deputy {
+    pledge: Option<Pledge>,
+    /// When the lead was heard last.
+    heard: Monotonic,
+    /// Ranks that were seen armed for the pledged switch, or switched.
+    armed: BTreeSet<Rank>,
+}
+
+impl Deputy {
+    /// Takes the pledge of a hold.
+    pub fn pledge(&mut self, pledge: Pledge, now: Monotonic) {
+        if self.pledge.as_ref() != Some(&pledge) {
+            self.armed.clear();
+        }
+        self.pledge = Some(pledge);
+        self.heard = now;
+    }
+
+    /// Takes that the lead speaks.
+    pub const fn heard(&mut self, now: Monotonic) {
+        self.heard = now;
+    }
+
+    /// Returns the pledge that the deputy has to see through now: its lead is silent, and the own rank has not
+    /// passed it.
+    #[must_use]
+    pub fn due(&mut self, own: &Sight, now: Monotonic) -> Option<&Pledge> {
+        let silent = now.saturating_sub(self.heard);
+        let is_over = |pledge: &Pledge| {
+            own.epoch != pledge.epoch || own.step >= pledge.switch.step || silent > LIFE
+        };
+        self.pledge.take_if(|pledge| is_over(pledge));
+        self.pledge.as_ref().filter(|_| silent >= PATIENCE)
+    }
+
+    /// Takes the state of a rank.
+    pub fn see(&mut self, sight: &Sight) {
+        let Some(pledge) = &self.pledge else {
+            return;
+        };
+        let is_armed = sight.armed == Some(pledge.switch);
+        let is_switched = sight.version == pledge.switch.version;
+        if sight.epoch == pledge.epoch && (is_armed || is_switched) {
+            self.armed.insert(sight.rank);
+        }
+    }
+
+    /// Says what to order, given the state of the rank that holds.
+    #[must_use]
+    pub fn orders(&mut self, holder: &Sight) -> Vec<(Rank, Order)> {
+        self.see(holder);
+        let Some(pledge) = &self.pledge else {
+            return Vec::new();
+        };
+        let switch = pledge.switch;
+        // Without the hold in force the pass may begin at any moment, so nobody may be armed for it.
+        if holder.epoch != pledge.epoch || holder.held != Some(switch.step) {
+            return Vec::new();
+        }
+        let unarmed = (0..holder.size).filter(|rank| !self.armed.contains(rank));
+        let orders: Vec<_> = unarmed.map(|rank| (rank, Order::Arm(switch))).collect();
+        if orders.is_empty() {
+            return vec![(HOLDER, Order::Release(switch.step))];
+        }
+        orders
+    }
+}
--- a/crates/lockstep/src/lib.rs
+++ b/crates/lockstep/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod change;
 pub mod coordinator;
+pub mod deputy;
 pub mod layout;
 pub mod message;
 pub mod plan;
--- a/crates/lockstep/src/message.rs
+++ b/crates/lockstep/src/message.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::change::Order;
+use crate::deputy::Pledge;
 use crate::layout::Layout;
 use crate::layout::Shape;
 use crate::sight::Epoch;
@@ -28,8 +29,10 @@
     Lead(Lead),
     /// A sidecar shows its rank to the one that leads.
     Show(Show),
-    /// The one that leads has an order for the receiver's rank.
+    /// The one that leads, or its deputy, has an order for the receiver's rank.
     Command(Command),
+    /// The one that leads is about to order a hold.
+    Pledge(Pledge),
 }
 
 /// Upstreams of a service, and how its experts are placed.
--- a/crates/lockstep/tests/all/explore.rs
+++ b/crates/lockstep/tests/all/explore.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use auburnline_core::id::Rank;
 use auburnline_core::id::Step;
@@ -15,6 +16,8 @@
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::change::Progress;
 use auburnline_lockstep::change::stray;
+use auburnline_lockstep::deputy::Deputy;
+use auburnline_lockstep::deputy::Pledge;
 use auburnline_lockstep::sight::Sight;
 use auburnline_lockstep::sight::Switch;
 use auburnline_lockstep::sight::Version;
@@ -40,6 +43,8 @@
     ranks: Rank,
     changes: Version,
     kills: u8,
+    /// Whether a deputy acts at any time beside the coordinator, on what it saw at any time before.
+    has_deputy: bool,
     /// Whether the fault is planted that ranks are armed without a hold.
     arms_unheld: bool,
 }
@@ -53,6 +58,9 @@
     change: Option<Change>,
     begun: Version,
     kills: u8,
+    deputy: Deputy,
+    /// The rank that holds, as the deputy saw it last.
+    holder: Option<Sight>,
 }
 
 /// An order in a form that can be sorted.
@@ -95,6 +103,8 @@
             change: None,
             begun: 0,
             kills: 0,
+            deputy: Deputy::default(),
+            holder: None,
         }
     }
 
@@ -113,6 +123,10 @@
             worlds.push(self.look(rank, bounds));
         }
         worlds.push(self.tick(bounds));
+        if bounds.has_deputy {
+            worlds.extend((0..bounds.ranks).map(|rank| self.deputy_looks(rank, bounds)));
+            worlds.push(self.stand_in());
+        }
         if self.kills < bounds.kills {
             let mut world = self.clone();
             world.kills += 1;
@@ -146,6 +160,47 @@
         world
     }
 
+    fn deputy_looks(&self, rank: Rank, bounds: Bounds) -> World {
+        let mut world = self.clone();
+        let sight = world.engines[usize::from(rank)].sight(rank, bounds.ranks, self.step);
+        if rank == HOLDER {
+            world.holder = Some(sight);
+        } else {
+            world.deputy.see(&sight);
+        }
+        world
+    }
+
+    /// Lets the deputy act on what it saw, as if its lead were silent.
+    fn stand_in(&self) -> World {
+        let mut world = self.clone();
+        let Some(holder) = &self.holder else {
+            return world;
+        };
+        let orders = world.deputy.orders(holder).into_iter();
+        let keys = orders.map(|(rank, order)| (rank, Key::of(order)));
+        world.orders.extend(keys);
+        world
+    }
+
+    /// Tells the deputy of a hold that is among `orders`.
+    fn pledge(&mut self, version: Version, orders: &[(Rank, Order)]) {
+        let Some((_, Order::Hold(step))) = orders.first() else {
+            return;
+        };
+        let pledge = Pledge {
+            group: String::new(),
+            epoch: 1,
+            switch: Switch {
+                version,
+                step: *step,
+            },
+            sidecars: Vec::new(),
+            holder: ([127, 0, 0, 1], 1).into(),
+        };
+        self.deputy.pledge(pledge, Duration::ZERO);
+    }
+
     /// Lets the coordinator decide on what it saw.
     fn tick(&self, bounds: Bounds) -> World {
         let mut world = self.clone();
@@ -171,8 +226,12 @@
         let Some(change) = &mut world.change else {
             return world;
         };
+        let version = change.version();
         match change.advance(&seen, HOLDER, AHEAD) {
             Progress::Orders(orders) => {
+                if bounds.has_deputy {
+                    world.pledge(version, &orders);
+                }
                 let keys = orders.iter().map(|(rank, order)| (*rank, Key::of(*order)));
                 world.orders.extend(keys);
                 if bounds.arms_unheld {
@@ -284,6 +343,7 @@
         ranks,
         changes,
         kills,
+        has_deputy: false,
         arms_unheld: false,
     }
 }
@@ -310,10 +370,33 @@
     assert_safe(bounds(2, 2, 1));
 }
 
+#[gtest]
+fn a_deputy_beside_a_coordinator_that_lives_does_no_harm() {
+    let beside = Bounds {
+        has_deputy: true,
+        ..bounds(2, 1, 0)
+    };
+    let outcome = explore(beside);
+    assert_that!((outcome.mixed, outcome.stuck), eq((0, 0)));
+}
+
 /// The search in breadth does not reach a switch of three ranks; those that dive do.
 #[gtest]
 fn three_ranks_switch_together() {
-    let bounds = bounds(3, 2, 2);
+    dive_often(bounds(3, 2, 2));
+}
+
+/// Pattern: a lead freezes between a hold and its release, its deputy takes the change forward on looks of any
+/// age, and the lead wakes up and goes on.
+#[gtest]
+fn three_ranks_switch_together_with_a_deputy() {
+    dive_often(Bounds {
+        has_deputy: true,
+        ..bounds(3, 2, 2)
+    });
+}
+
+fn dive_often(bounds: Bounds) {
     let mut switched = 0;
     for seed in 0..400 {
         let world = dive(bounds, seed);
--- a/crates/lockstep/tests/all/main.rs
+++ b/crates/lockstep/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod change;
 mod coordinator;
+mod deputy;
 mod explore;
 mod message;
 mod plan;
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -1,5 +1,7 @@
 //! The engine beside which a sidecar runs.
 
+use std::net::SocketAddr;
+
 use auburnline_core::id::Expert;
 use auburnline_http::Failure;
 use auburnline_lockstep::change::Order;
@@ -46,6 +48,9 @@
 
 /// An engine, as a platform lets one speak to it.
 pub trait Engine {
+    /// Returns the engine of another rank; its reports may be some hundred milliseconds old.
+    fn at(&self, address: SocketAddr) -> Self;
+
     /// Reads the rank's state.
     fn report(&self) -> impl Future<Output = Result<Report, Failure>>;
 
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -10,12 +10,15 @@
 use auburnline_core::id::Step;
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::Coordinator;
+use auburnline_lockstep::change::Order;
 use auburnline_lockstep::coordinator::HOLDER;
+use auburnline_lockstep::deputy::Pledge;
 use auburnline_lockstep::layout::Shape;
 use auburnline_lockstep::message::Busy;
 use auburnline_lockstep::message::Digest;
 use auburnline_lockstep::message::Members;
 use auburnline_lockstep::message::Show;
+use auburnline_lockstep::sight::Switch;
 use auburnline_lockstep::told::Note;
 use auburnline_lockstep::told::Send;
 
@@ -72,6 +75,27 @@
         self.addresses.get(&rank).copied()
     }
 
+    /// Returns the pledge of the hold that is among `sends`, if one is.
+    pub(crate) fn pledge(&self, sends: &[Send], holder: SocketAddr) -> Option<Pledge> {
+        let hold = sends.iter().find_map(|send| match send.order {
+            Order::Hold(step) => Some((send.epoch, step)),
+            Order::Prepare(_) | Order::Arm(_) | Order::Release(_) => None,
+        });
+        let (epoch, step) = hold?;
+        let version = self.coordinator.changing()?;
+        Some(Pledge {
+            group: self.group.clone(),
+            epoch,
+            switch: Switch { version, step },
+            sidecars: self
+                .addresses
+                .iter()
+                .map(|(rank, address)| (*rank, *address))
+                .collect(),
+            holder,
+        })
+    }
+
     /// Returns what to tell gateways if it is time for it: the group's ranks and whether it serves.
     pub(crate) fn digest(
         &mut self,
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -11,6 +11,8 @@
 use auburnline_gateway::neighbour::Datagram;
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::coordinator::HOLDER;
+use auburnline_lockstep::deputy::DEPUTY;
+use auburnline_lockstep::deputy::Deputy;
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Command;
 use auburnline_lockstep::message::Digest;
@@ -50,8 +52,13 @@
 /// Time for which looks stay quick after an order to prepare: a plan copies for 0.45 s at most, and the group
 /// waits for its last rank to be seen ready.
 const QUICK_COPY: Duration = Duration::from_millis(700);
+/// Time for which the deputy's looks stay quick after a hold was pledged: until it is over, or its lead is silent for
+/// long enough.
+const QUICK_PLEDGE: Duration = Duration::from_millis(600);
 /// Age at which the word of the one that leads is forgotten.
 const LEAD_AGE: Duration = Duration::from_secs(3);
+/// Gateways that are told of the group with one word: all of today's fleets, and a bound on the cost of a lead.
+const TOLD_AT_ONCE: usize = 64;
 /// Largest datagram.
 const MAX_BYTES: usize = 60 << 10;
 
@@ -107,6 +114,11 @@
     shown: Option<(State, Monotonic)>,
     /// When the others were told who leads.
     announced: Monotonic,
+    deputy: Deputy,
+    /// Who gave the order after which the rank is looked at.
+    asked_by: Option<SocketAddr>,
+    /// Place in the list of gateways at which the next word to them begins.
+    next_told: usize,
     is_reachable: bool,
     /// Group and epoch that the rank showed last.
     group: Option<String>,
@@ -133,6 +145,9 @@
             quick_until: Monotonic::ZERO,
             shown: None,
             announced: Monotonic::ZERO,
+            deputy: Deputy::default(),
+            asked_by: None,
+            next_told: 0,
             is_reachable: true,
             group: None,
             epoch: None,
@@ -255,7 +270,9 @@
     async fn show(&mut self, show: Show) {
         let now = self.clock.now();
         let is_fresh = |leader: &Leader| now.saturating_sub(leader.heard) < LEAD_AGE;
-        let Some(leader) = self.leader.filter(is_fresh) else {
+        self.see_through(&show.sight, now).await;
+        let leader = self.leader.filter(is_fresh).map(|leader| leader.address);
+        let Some(address) = self.asked_by.or(leader) else {
             return;
         };
         let state = State::of(&show.sight);
@@ -266,7 +283,43 @@
             return;
         }
         self.shown = Some((state, now));
-        self.tell(&Message::Show(show), leader.address).await;
+        self.tell(&Message::Show(show), address).await;
+    }
+
+    /// As the deputy, takes a change forward whose lead fell silent while its group is held.
+    async fn see_through(&mut self, own: &Sight, now: Monotonic) {
+        self.deputy.see(own);
+        let Some(pledge) = self.deputy.due(own, now).cloned() else {
+            return;
+        };
+        self.quick_until = now + QUICK_PLEDGE;
+        let holder = self.engine.at(pledge.holder);
+        let sight = match holder.report().await {
+            Ok(report) => report.sight,
+            Err(failure) => {
+                let cause = failure.to_string();
+                log::warn!(target: "experts", group = pledge.group.as_str(), cause = cause.as_str(); "holder not seen");
+                return;
+            }
+        };
+        let orders = self.deputy.orders(&sight);
+        let (epoch, step) = (pledge.epoch, pledge.switch.step);
+        log::info!(target: "experts", group = pledge.group.as_str(), epoch, step, orders = orders.len(); "standing in");
+        for (rank, order) in orders {
+            if rank == own.rank {
+                give(&self.engine, epoch, order, None).await;
+            } else if rank == HOLDER {
+                give(&holder, epoch, order, None).await;
+            } else if let Some((_, address)) = pledge.sidecars.iter().find(|(of, _)| *of == rank) {
+                let command = Command {
+                    group: pledge.group.clone(),
+                    epoch,
+                    order,
+                    layout: None,
+                };
+                self.tell(&Message::Command(command), *address).await;
+            }
+        }
     }
 
     async fn lead(&mut self, show: Show) {
@@ -335,21 +388,33 @@
         }
     }
 
-    async fn tell_gateways(&self, digest: Option<Digest>) {
+    /// Tells gateways of the group; of very many only some with each word, in turn.
+    async fn tell_gateways(&mut self, digest: Option<Digest>) {
         let (Some(digest), Some(members)) = (digest, &self.members) else {
             return;
         };
         let message = Datagram::Group(digest);
-        for gateway in &members.gateways {
+        let gateways = &members.gateways;
+        let told = gateways.iter().cycle().skip(self.next_told);
+        for gateway in told.take(gateways.len().min(TOLD_AT_ONCE)) {
             self.tell(&message, *gateway).await;
         }
+        self.next_told = (self.next_told + TOLD_AT_ONCE) % gateways.len().max(1);
     }
 
     /// Gives the orders that are due.
     async fn step(&mut self) {
         let now = self.clock.now();
-        let sends = self.lead.as_mut().map(|lead| lead.tick(now));
-        for send in sends.unwrap_or_default() {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let sends = lead.tick(now);
+        if let Some(pledge) = lead.pledge(&sends, self.settings.engine)
+            && let Some(deputy) = lead.address(DEPUTY)
+        {
+            self.tell(&Message::Pledge(pledge), deputy).await;
+        }
+        for send in sends {
             self.hasten(send.order);
             if send.rank == HOLDER {
                 let layout = send.layout.as_deref();
@@ -404,6 +469,7 @@
             }
             Message::Lead(word) => {
                 if self.group.as_ref() == Some(&word.group) {
+                    self.deputy.heard(now);
                     self.leader = Some(Leader {
                         address: from,
                         heard: now,
@@ -415,14 +481,22 @@
                 if let Some(lead) = &mut self.lead {
                     lead.see(show, Some(from), now);
                     self.step().await;
+                } else if self.group.as_ref() == Some(&show.group) {
+                    self.deputy.see(&show.sight);
+                }
+            }
+            Message::Command(command) => self.follow(command, from).await,
+            Message::Pledge(pledge) => {
+                if self.group.as_ref() == Some(&pledge.group) {
+                    self.deputy.pledge(pledge, now);
+                    self.quick_until = self.quick_until.max(now + QUICK_PLEDGE);
                 }
             }
-            Message::Command(command) => self.follow(command).await,
         }
     }
 
-    /// Passes an order of the one that leads on, and shows what came of it.
-    async fn follow(&mut self, command: Command) {
+    /// Passes an order of the one that leads or its deputy on, and shows what came of it.
+    async fn follow(&mut self, command: Command, from: SocketAddr) {
         let is_ours = self.group.as_ref() == Some(&command.group);
         if !is_ours || self.epoch != Some(command.epoch) {
             return;
@@ -431,7 +505,9 @@
         give(&self.engine, command.epoch, command.order, layout).await;
         self.hasten(command.order);
         self.shown = None;
+        self.asked_by = Some(from);
         self.look().await;
+        self.asked_by = None;
     }
 
     async fn tell(&self, message: &impl Serialize, to: SocketAddr) {
--- a/crates/sidecar/tests/all/order.rs
+++ b/crates/sidecar/tests/all/order.rs
@@ -5,6 +5,7 @@
 
 use std::cell::Cell;
 use std::future::pending;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use auburnline_core::id::Expert;
@@ -35,6 +36,10 @@
 }
 
 impl Engine for Silent {
+    fn at(&self, _: SocketAddr) -> Silent {
+        Silent::new(self.lost)
+    }
+
     async fn report(&self) -> std::result::Result<Report, Failure> {
         Err(Failure::Lost)
     }
