--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -49,6 +49,7 @@
 /// An engine, as a platform lets one speak to it.
 pub trait Engine {
     /// Returns the engine of another rank; its reports may be some hundred milliseconds old.
+    #[must_use]
     fn at(&self, address: SocketAddr) -> Self;
 
     /// Reads the rank's state.
