--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -1,30 +1,22 @@
 //! One sidecar: reads its rank, and leads or follows.
 
+mod following;
+mod leading;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use auburnline_core::id::Step;
 use auburnline_core::time::Monotonic;
 use auburnline_duty::clock::Clock;
-use auburnline_gateway::neighbour::Datagram;
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::coordinator::HOLDER;
-use auburnline_lockstep::deputy::DEPUTY;
 use auburnline_lockstep::deputy::Deputy;
-use auburnline_lockstep::message::Ask;
-use auburnline_lockstep::message::Command;
-use auburnline_lockstep::message::Digest;
-use auburnline_lockstep::message::Lead as LeadWord;
 use auburnline_lockstep::message::Members;
 use auburnline_lockstep::message::Message;
 use auburnline_lockstep::message::Show;
 use auburnline_lockstep::sight::Epoch;
-use auburnline_lockstep::sight::Sight;
-use auburnline_lockstep::sight::Switch;
-use auburnline_lockstep::sight::Version;
-use auburnline_lockstep::told::Send;
 use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -32,11 +24,10 @@
 use crate::engine::Counts;
 use crate::engine::Engine;
 use crate::engine::Report;
-use crate::lead::ASK_PERIOD;
-use crate::lead::FIRST_ASK_PERIOD;
 use crate::lead::Lead;
-use crate::order::give;
 use crate::settings::Settings;
+use crate::sidecar::following::QUICK_PLEDGE;
+use crate::sidecar::following::State;
 
 /// Time between two looks at the rank: a change of demand is seen within two to three of them, and each
 /// costs about half a millisecond of the instance's processor.
@@ -49,16 +40,9 @@
 const QUICK_PERIOD: Duration = Duration::from_millis(40);
 /// Time for which looks stay quick after an order to switch, hold or release: its effect shows at once.
 const QUICK: Duration = Duration::from_millis(200);
-/// Time for which looks stay quick after an order to prepare: a plan copies for 0.45 s at most, and the group
+/// Time for which looks stay quick after an order to prepare: a plan copies for 0.3 s at most, and the group
 /// waits for its last rank to be seen ready.
 const QUICK_COPY: Duration = Duration::from_millis(700);
-/// Time for which the deputy's looks stay quick after a hold was pledged: until it is over, or its lead is silent for
-/// long enough.
-const QUICK_PLEDGE: Duration = Duration::from_millis(600);
-/// Age at which the word of the one that leads is forgotten.
-const LEAD_AGE: Duration = Duration::from_secs(3);
-/// Gateways that are told of the group with one word: all of today's fleets, and a bound on the cost of a lead.
-const TOLD_AT_ONCE: usize = 64;
 /// Largest datagram.
 const MAX_BYTES: usize = 60 << 10;
 
@@ -70,28 +54,6 @@
     wants_layout: bool,
 }
 
-/// What a change waits for at one rank; between two slow looks a word is sent only when it differs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct State {
-    epoch: Epoch,
-    version: Version,
-    prepared: Option<Version>,
-    armed: Option<Switch>,
-    held: Option<Step>,
-}
-
-impl State {
-    fn of(sight: &Sight) -> State {
-        State {
-            epoch: sight.epoch,
-            version: sight.version,
-            prepared: sight.prepared,
-            armed: sight.armed,
-            held: sight.held,
-        }
-    }
-}
-
 /// State of one sidecar.
 pub(crate) struct Sidecar<E> {
     settings: Settings,
@@ -267,180 +229,6 @@
         .ok()
     }
 
-    async fn show(&mut self, show: Show) {
-        let now = self.clock.now();
-        let is_fresh = |leader: &Leader| now.saturating_sub(leader.heard) < LEAD_AGE;
-        self.see_through(&show.sight, now).await;
-        let leader = self.leader.filter(is_fresh).map(|leader| leader.address);
-        let Some(address) = self.asked_by.or(leader) else {
-            return;
-        };
-        let state = State::of(&show.sight);
-        let is_told = self.shown.is_some_and(|(shown, at)| {
-            shown == state && now.saturating_sub(at) < SHOW_PERIOD && show.held.is_none()
-        });
-        if is_told && show.choices.is_empty() {
-            return;
-        }
-        self.shown = Some((state, now));
-        self.tell(&Message::Show(show), address).await;
-    }
-
-    /// As the deputy, takes a change forward whose lead fell silent while its group is held.
-    async fn see_through(&mut self, own: &Sight, now: Monotonic) {
-        self.deputy.see(own);
-        let Some(pledge) = self.deputy.due(own, now).cloned() else {
-            return;
-        };
-        self.quick_until = now + QUICK_PLEDGE;
-        let holder = self.engine.at(pledge.holder);
-        let sight = match holder.report().await {
-            Ok(report) => report.sight,
-            Err(failure) => {
-                let cause = failure.to_string();
-                log::warn!(target: "experts", group = pledge.group.as_str(), cause = cause.as_str(); "holder not seen");
-                return;
-            }
-        };
-        let orders = self.deputy.orders(&sight);
-        let (epoch, step) = (pledge.epoch, pledge.switch.step);
-        log::info!(target: "experts", group = pledge.group.as_str(), epoch, step, orders = orders.len(); "standing in");
-        for (rank, order) in orders {
-            if rank == own.rank {
-                give(&self.engine, epoch, order, None).await;
-            } else if rank == HOLDER {
-                give(&holder, epoch, order, None).await;
-            } else if let Some((_, address)) = pledge.sidecars.iter().find(|(of, _)| *of == rank) {
-                let command = Command {
-                    group: pledge.group.clone(),
-                    epoch,
-                    order,
-                    layout: None,
-                };
-                self.tell(&Message::Command(command), *address).await;
-            }
-        }
-    }
-
-    async fn lead(&mut self, show: Show) {
-        let now = self.clock.now();
-        self.ask(now).await;
-        let shape = self.members.as_ref().and_then(|members| members.shape);
-        let Some(shape) = shape else {
-            return;
-        };
-        let started = self.started;
-        let lead = self
-            .lead
-            .get_or_insert_with(|| Lead::new(show.group.clone(), shape, started, now));
-        let word = LeadWord {
-            group: show.group.clone(),
-            epoch: show.sight.epoch,
-            wants_layout: lead.wants_layout(),
-        };
-        lead.see(show, None, now);
-        lead.tell_pulse(now);
-        let members = self.members.as_ref();
-        let own = self.settings.peers;
-        let digest = members.and_then(|members| lead.digest(members, own, now));
-        self.announce(&word, now).await;
-        self.tell_gateways(digest).await;
-        self.step().await;
-    }
-
-    /// Asks a gateway who serves the service.
-    async fn ask(&mut self, now: Monotonic) {
-        let is_known = self.members.as_ref().is_some_and(Members::is_whole);
-        let period = if is_known {
-            ASK_PERIOD
-        } else {
-            FIRST_ASK_PERIOD
-        };
-        let is_due = self.asked.is_none_or(|at| now.saturating_sub(at) >= period);
-        if !is_due {
-            return;
-        }
-        self.asked = Some(now);
-        let ask = Datagram::Ask(Ask {
-            service: self.settings.service.clone(),
-        });
-        for gateway in self.settings.gateways.clone() {
-            self.tell(&ask, gateway).await;
-        }
-    }
-
-    /// Tells the other sidecars who leads.
-    async fn announce(&mut self, word: &LeadWord, now: Monotonic) {
-        let Some(members) = &self.members else {
-            return;
-        };
-        if now.saturating_sub(self.announced) < SHOW_PERIOD {
-            return;
-        }
-        self.announced = now;
-        let port = self.settings.peers.port();
-        let message = Message::Lead(word.clone());
-        for upstream in &members.upstreams {
-            let address = SocketAddr::new(upstream.ip(), port);
-            if address != self.settings.peers {
-                self.tell(&message, address).await;
-            }
-        }
-    }
-
-    /// Tells gateways of the group; of very many only some with each word, in turn.
-    async fn tell_gateways(&mut self, digest: Option<Digest>) {
-        let (Some(digest), Some(members)) = (digest, &self.members) else {
-            return;
-        };
-        let message = Datagram::Group(digest);
-        let gateways = &members.gateways;
-        let told = gateways.iter().cycle().skip(self.next_told);
-        for gateway in told.take(gateways.len().min(TOLD_AT_ONCE)) {
-            self.tell(&message, *gateway).await;
-        }
-        self.next_told = (self.next_told + TOLD_AT_ONCE) % gateways.len().max(1);
-    }
-
-    /// Gives the orders that are due.
-    async fn step(&mut self) {
-        let now = self.clock.now();
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        let sends = lead.tick(now);
-        if let Some(pledge) = lead.pledge(&sends, self.settings.engine)
-            && let Some(deputy) = lead.address(DEPUTY)
-        {
-            self.tell(&Message::Pledge(pledge), deputy).await;
-        }
-        for send in sends {
-            self.hasten(send.order);
-            if send.rank == HOLDER {
-                let layout = send.layout.as_deref();
-                give(&self.engine, send.epoch, send.order, layout).await;
-            } else {
-                self.pass_on(send).await;
-            }
-        }
-    }
-
-    async fn pass_on(&self, send: Send) {
-        let Some(lead) = &self.lead else {
-            return;
-        };
-        let Some(address) = lead.address(send.rank) else {
-            return;
-        };
-        let command = Command {
-            group: lead.group().to_owned(),
-            epoch: send.epoch,
-            order: send.order,
-            layout: send.layout.map(|layout| (*layout).clone()),
-        };
-        self.tell(&Message::Command(command), address).await;
-    }
-
     /// Looks at the rank often until an order's effect must have shown.
     fn hasten(&mut self, order: Order) {
         let time = match order {
@@ -495,21 +283,6 @@
         }
     }
 
-    /// Passes an order of the one that leads or its deputy on, and shows what came of it.
-    async fn follow(&mut self, command: Command, from: SocketAddr) {
-        let is_ours = self.group.as_ref() == Some(&command.group);
-        if !is_ours || self.epoch != Some(command.epoch) {
-            return;
-        }
-        let layout = command.layout.as_ref();
-        give(&self.engine, command.epoch, command.order, layout).await;
-        self.hasten(command.order);
-        self.shown = None;
-        self.asked_by = Some(from);
-        self.look().await;
-        self.asked_by = None;
-    }
-
     async fn tell(&self, message: &impl Serialize, to: SocketAddr) {
         let Ok(bytes) = postcard::to_stdvec(message) else {
             log::error!(target: "sidecar", "a message can't be written");
--- /dev/null
+++ b/crates/sidecar/src/sidecar/following.rs
@@ -0,0 +1,122 @@
+//! What the other sidecars do: they show their ranks to the one that leads, carry its orders out, and the one
+//! beside rank 1 sees a hold through whose lead fell silent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use auburnline_core::id::Step;
+use auburnline_core::time::Monotonic;
+use auburnline_lockstep::coordinator::HOLDER;
+use auburnline_lockstep::message::Command;
+use auburnline_lockstep::message::Message;
+use auburnline_lockstep::message::Show;
+use auburnline_lockstep::sight::Epoch;
+use auburnline_lockstep::sight::Sight;
+use auburnline_lockstep::sight::Switch;
+use auburnline_lockstep::sight::Version;
+
+use super::Leader;
+use super::SHOW_PERIOD;
+use super::Sidecar;
+use crate::engine::Engine;
+use crate::order::give;
+
+/// Time for which the deputy's looks stay quick after a hold was pledged: until it is over, or its lead is silent for
+/// long enough.
+pub(super) const QUICK_PLEDGE: Duration = Duration::from_millis(600);
+/// Age at which the word of the one that leads is forgotten.
+const LEAD_AGE: Duration = Duration::from_secs(3);
+
+/// What a change waits for at one rank; between two slow looks a word is sent only when it differs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct State {
+    epoch: Epoch,
+    version: Version,
+    prepared: Option<Version>,
+    armed: Option<Switch>,
+    held: Option<Step>,
+}
+
+impl State {
+    fn of(sight: &Sight) -> State {
+        State {
+            epoch: sight.epoch,
+            version: sight.version,
+            prepared: sight.prepared,
+            armed: sight.armed,
+            held: sight.held,
+        }
+    }
+}
+
+impl<E: Engine> Sidecar<E> {
+    pub(super) async fn show(&mut self, show: Show) {
+        let now = self.clock.now();
+        let is_fresh = |leader: &Leader| now.saturating_sub(leader.heard) < LEAD_AGE;
+        self.see_through(&show.sight, now).await;
+        let leader = self.leader.filter(is_fresh).map(|leader| leader.address);
+        let Some(address) = self.asked_by.or(leader) else {
+            return;
+        };
+        let state = State::of(&show.sight);
+        let is_told = self.shown.is_some_and(|(shown, at)| {
+            shown == state && now.saturating_sub(at) < SHOW_PERIOD && show.held.is_none()
+        });
+        if is_told && show.choices.is_empty() {
+            return;
+        }
+        self.shown = Some((state, now));
+        self.tell(&Message::Show(show), address).await;
+    }
+
+    /// As the deputy, takes a change forward whose lead fell silent while its group is held.
+    async fn see_through(&mut self, own: &Sight, now: Monotonic) {
+        self.deputy.see(own);
+        let Some(pledge) = self.deputy.due(own, now).cloned() else {
+            return;
+        };
+        self.quick_until = now + QUICK_PLEDGE;
+        let holder = self.engine.at(pledge.holder);
+        let sight = match holder.report().await {
+            Ok(report) => report.sight,
+            Err(failure) => {
+                let cause = failure.to_string();
+                log::warn!(target: "experts", group = pledge.group.as_str(), cause = cause.as_str(); "holder not seen");
+                return;
+            }
+        };
+        let orders = self.deputy.orders(&sight);
+        let (epoch, step) = (pledge.epoch, pledge.switch.step);
+        log::info!(target: "experts", group = pledge.group.as_str(), epoch, step, orders = orders.len(); "standing in");
+        for (rank, order) in orders {
+            if rank == own.rank {
+                give(&self.engine, epoch, order, None).await;
+            } else if rank == HOLDER {
+                give(&holder, epoch, order, None).await;
+            } else if let Some((_, address)) = pledge.sidecars.iter().find(|(of, _)| *of == rank) {
+                let command = Command {
+                    group: pledge.group.clone(),
+                    epoch,
+                    order,
+                    layout: None,
+                };
+                self.tell(&Message::Command(command), *address).await;
+            }
+        }
+    }
+
+    /// Passes an order of the one that leads or its deputy on, and shows what came of it.
+    pub(super) async fn follow(&mut self, command: Command, from: SocketAddr) {
+        let is_ours = self.group.as_ref() == Some(&command.group);
+        if !is_ours || self.epoch != Some(command.epoch) {
+            return;
+        }
+        let layout = command.layout.as_ref();
+        give(&self.engine, command.epoch, command.order, layout).await;
+        self.hasten(command.order);
+        self.shown = None;
+        self.asked_by = Some(from);
+        self.look().await;
+        self.asked_by = None;
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/sidecar/leading.rs
@@ -0,0 +1,149 @@
+//! What the sidecar beside rank 0 does for its group: it asks who serves, tells who leads and how the group
+//! runs, and gives the orders that its lead decides on.
+
+use std::net::SocketAddr;
+
+use auburnline_core::time::Monotonic;
+use auburnline_gateway::neighbour::Datagram;
+use auburnline_lockstep::coordinator::HOLDER;
+use auburnline_lockstep::deputy::DEPUTY;
+use auburnline_lockstep::message::Ask;
+use auburnline_lockstep::message::Command;
+use auburnline_lockstep::message::Digest;
+use auburnline_lockstep::message::Lead as LeadWord;
+use auburnline_lockstep::message::Members;
+use auburnline_lockstep::message::Message;
+use auburnline_lockstep::message::Show;
+use auburnline_lockstep::told::Send;
+
+use super::SHOW_PERIOD;
+use super::Sidecar;
+use crate::engine::Engine;
+use crate::lead::ASK_PERIOD;
+use crate::lead::FIRST_ASK_PERIOD;
+use crate::lead::Lead;
+use crate::order::give;
+
+/// Gateways that are told of the group with one word: all of today's fleets, and a bound on the cost of a lead.
+const TOLD_AT_ONCE: usize = 64;
+
+impl<E: Engine> Sidecar<E> {
+    pub(super) async fn lead(&mut self, show: Show) {
+        let now = self.clock.now();
+        self.ask(now).await;
+        let shape = self.members.as_ref().and_then(|members| members.shape);
+        let Some(shape) = shape else {
+            return;
+        };
+        let started = self.started;
+        let lead = self
+            .lead
+            .get_or_insert_with(|| Lead::new(show.group.clone(), shape, started, now));
+        let word = LeadWord {
+            group: show.group.clone(),
+            epoch: show.sight.epoch,
+            wants_layout: lead.wants_layout(),
+        };
+        lead.see(show, None, now);
+        lead.tell_pulse(now);
+        let members = self.members.as_ref();
+        let own = self.settings.peers;
+        let digest = members.and_then(|members| lead.digest(members, own, now));
+        self.announce(&word, now).await;
+        self.tell_gateways(digest).await;
+        self.step().await;
+    }
+
+    /// Asks a gateway who serves the service.
+    async fn ask(&mut self, now: Monotonic) {
+        let is_known = self.members.as_ref().is_some_and(Members::is_whole);
+        let period = if is_known {
+            ASK_PERIOD
+        } else {
+            FIRST_ASK_PERIOD
+        };
+        let is_due = self.asked.is_none_or(|at| now.saturating_sub(at) >= period);
+        if !is_due {
+            return;
+        }
+        self.asked = Some(now);
+        let ask = Datagram::Ask(Ask {
+            service: self.settings.service.clone(),
+        });
+        for gateway in self.settings.gateways.clone() {
+            self.tell(&ask, gateway).await;
+        }
+    }
+
+    /// Tells the other sidecars who leads.
+    async fn announce(&mut self, word: &LeadWord, now: Monotonic) {
+        let Some(members) = &self.members else {
+            return;
+        };
+        if now.saturating_sub(self.announced) < SHOW_PERIOD {
+            return;
+        }
+        self.announced = now;
+        let port = self.settings.peers.port();
+        let message = Message::Lead(word.clone());
+        for upstream in &members.upstreams {
+            let address = SocketAddr::new(upstream.ip(), port);
+            if address != self.settings.peers {
+                self.tell(&message, address).await;
+            }
+        }
+    }
+
+    /// Tells gateways of the group; of very many only some with each word, in turn.
+    async fn tell_gateways(&mut self, digest: Option<Digest>) {
+        let (Some(digest), Some(members)) = (digest, &self.members) else {
+            return;
+        };
+        let message = Datagram::Group(digest);
+        let gateways = &members.gateways;
+        let told = gateways.iter().cycle().skip(self.next_told);
+        for gateway in told.take(gateways.len().min(TOLD_AT_ONCE)) {
+            self.tell(&message, *gateway).await;
+        }
+        self.next_told = (self.next_told + TOLD_AT_ONCE) % gateways.len().max(1);
+    }
+
+    /// Gives the orders that are due.
+    pub(super) async fn step(&mut self) {
+        let now = self.clock.now();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let sends = lead.tick(now);
+        if let Some(pledge) = lead.pledge(&sends, self.settings.engine)
+            && let Some(deputy) = lead.address(DEPUTY)
+        {
+            self.tell(&Message::Pledge(pledge), deputy).await;
+        }
+        for send in sends {
+            self.hasten(send.order);
+            if send.rank == HOLDER {
+                let layout = send.layout.as_deref();
+                give(&self.engine, send.epoch, send.order, layout).await;
+            } else {
+                self.pass_on(send).await;
+            }
+        }
+    }
+
+    async fn pass_on(&self, send: Send) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let Some(address) = lead.address(send.rank) else {
+            return;
+        };
+        let command = Command {
+            group: lead.group().to_owned(),
+            epoch: send.epoch,
+            order: send.order,
+            layout: send.layout.map(|layout| (*layout).clone()),
+        };
+        self.tell(&Message::Command(command), address).await;
+    }
+}
