Keep a gateway's unused share of a group's room, and give out places of streams that end

A gateway that got three requests within one word of the lead had used its share of 1.5 and refused, while others used none; and the room of a word was given out once, though a tenth of the streams end by the next, so a group stood some 20 streams below what it carries. A share that is not used is kept, to four requests; streams that end by the next word count as room, up to the slots; a share below one begins at a part by chance. The refusal says which of the two it was. Both new tests failed first (2 and 0 sends).

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -12,6 +12,8 @@
 use auburnline_core::time::Monotonic;
 use rand::Rng as _;
 
+use crate::allowance::Allowance;
+use crate::allowance::WORD;
 use crate::gateway::Gateway;
 use crate::gateway::NO_UPSTREAM_RETURN;
 use crate::pace;
@@ -41,9 +43,6 @@
 /// Shortest and longest time in seconds between two looks whether a full group has room. They differ by chance: if all
 /// gateways let their requests in when the lead tells of room, one pass would have to read all their prompts.
 const LOOKS: (f64, f64) = (0.015, 0.06);
-/// Fewest requests that a gateway may send to a group with room between two words of its lead, since a part of one
-/// can't be sent. A share below one as a chance gave no more on the users' larger deployments.
-const LEAST_SHARE: f64 = 1.0;
 /// Time between two looks whether a group is open again.
 const REFORM_LOOK: Duration = Duration::from_millis(100);
 /// Shortest and longest time in seconds to come back when all groups are shut for longer: ranks that
@@ -56,9 +55,7 @@
     load: Load,
     /// Requests in flight of this gateway.
     own: u32,
-    /// Own sends that the last word of its lead can't hold.
-    sent: u32,
-    /// Age of that word; none if there is none that is fresh.
+    /// Age of the word of its lead that tells the load; none if there is none that is fresh.
     told: Option<Duration>,
 }
 
@@ -67,6 +64,13 @@
     pub(crate) group: GroupId,
     traffic: Traffic,
     prediction: Prediction,
+    /// This gateway's part of the room, where the lead tells it.
+    allowance: Option<Allowance>,
+    /// Part of its streams that end between two words of the lead.
+    turnover: f64,
+    /// Requests that its ranks run at once.
+    slots: f64,
+    gateways: usize,
 }
 
 impl Room {
@@ -75,34 +79,50 @@
         self.prediction.most - f64::from(self.traffic.load.in_flight)
     }
 
-    /// Returns whether one stream more may go there.
-    ///
-    /// Of the room that a lead told, each of `gateways` takes its share until the next word: when all of
-    /// them meet a wave of callers at once, as after a loss of power, each would else fill the group alone.
-    fn is_free(&self, gateways: usize) -> bool {
-        let own = f64::from(self.own());
-        let all = match self.traffic.told {
-            Some(_) => self.places() + own,
-            None => self.prediction.most * UNTOLD_PART,
-        };
-        self.places() > 0.0 && own < (all / real(gateways)).max(LEAST_SHARE)
+    /// Returns the streams that may be sent there until the lead's next word: its places, and those of the streams
+    /// that end by then; none where they would only wait for a slot.
+    fn room(&self) -> f64 {
+        let in_flight = f64::from(self.traffic.load.in_flight);
+        let room = self.places() + in_flight * self.turnover;
+        room.min(self.slots - in_flight)
+    }
+
+    /// Returns the streams that this gateway may weigh the group by when it draws one.
+    fn weight(&self) -> f64 {
+        if self.is_free() { self.room() } else { 0.0 }
     }
 
-    /// Returns what counts against this gateway's share.
-    fn own(&self) -> u32 {
-        match self.traffic.told {
-            Some(_) => self.traffic.sent,
-            None => self.traffic.own,
+    /// Returns whether one stream more may go there from this gateway.
+    fn is_free(&self) -> bool {
+        if let Some(allowance) = self.allowance {
+            return self.room() > 0.0 && allowance.is_left();
         }
+        let own = f64::from(self.traffic.own);
+        self.places() > 0.0 && own < self.untold_share().max(1.0)
     }
 
-    fn basis(&self, gateways: usize) -> Basis {
+    /// Returns the streams that this gateway may have in flight while no lead tells the load.
+    fn untold_share(&self) -> f64 {
+        self.prediction.most * UNTOLD_PART / real(self.gateways)
+    }
+
+    fn basis(&self) -> Basis {
         Basis {
             prediction: self.prediction,
             in_flight: self.traffic.load.in_flight,
-            own: self.own(),
-            gateways,
+            own: self.traffic.own,
+            gateways: self.gateways,
             told: self.traffic.told,
+            allowance: self.allowance.map(Allowance::requests),
+        }
+    }
+
+    /// Returns why no stream more may go there.
+    fn reason(&self) -> &'static str {
+        if self.room() > 0.0 {
+            "this gateway's share of the group is taken"
+        } else {
+            "the group is full"
         }
     }
 }
@@ -124,9 +144,8 @@
         let Some(room) = self.roomy(&plan.service, &engine, longest, now) else {
             return self.await_reform(plan, &engine, now);
         };
-        let gateways = self.roster.live(now);
-        let basis = Some(room.basis(gateways));
-        if room.is_free(gateways) {
+        let basis = Some(room.basis());
+        if room.is_free() {
             return Admission::Go(basis);
         }
         let until = plan.arrived + plan.route.objective.mul_f64(WAIT_PART);
@@ -134,7 +153,7 @@
             let look = self.rng.random_range(LOOKS.0..LOOKS.1);
             return Admission::Wait(until.min(now + Duration::from_secs_f64(look)));
         }
-        let mut refusal = Refusal::of(ErrorKind::Overloaded, "the group is full");
+        let mut refusal = Refusal::of(ErrorKind::Overloaded, room.reason());
         refusal.basis = basis;
         let after = self.rng.random_range(RETURNS.0..RETURNS.1);
         Admission::Refuse(refusal.after(Duration::from_secs_f64(after)))
@@ -165,7 +184,6 @@
             traffic.load.ranks += 1;
             traffic.load.in_flight = traffic.load.in_flight.saturating_add(usage.requests);
             traffic.own += usage.own;
-            traffic.sent += usage.told.map_or(0, |load| load.sent);
             traffic.told = traffic.told.max(usage.told.map(|load| load.age));
         }
         groups.retain(|group, _| !self.groups.is_shut(group, now));
@@ -193,23 +211,29 @@
         longest: Duration,
         now: Monotonic,
     ) -> Option<Room> {
-        let groups = self.traffic(service, now).into_iter();
-        let rooms = groups.map(|(group, traffic)| {
+        let gateways = self.roster.live(now);
+        let mut rooms = Vec::new();
+        for (group, traffic) in self.traffic(service, now) {
             let pace = self.paces.entry(group.clone()).or_default();
             let prediction = pace.predict(engine, longest, traffic.load);
-            Room {
+            let mut room = Room {
                 group,
                 traffic,
                 prediction,
-            }
-        });
-        let rooms: Vec<_> = rooms.collect();
-        let sum: f64 = rooms.iter().map(|room| room.places().max(0.0)).sum();
+                allowance: None,
+                slots: f64::from(traffic.load.ranks) * f64::from(engine.slots),
+                turnover: WORD.as_secs_f64() / prediction.stream(engine).as_secs_f64(),
+                gateways,
+            };
+            room.allowance = self.allowance(&room, now);
+            rooms.push(room);
+        }
+        let sum: f64 = rooms.iter().map(Room::weight).sum();
         let mut drawn = self.rng.random::<f64>() * sum;
         let taken = rooms.iter().position(|room| {
-            let places = room.places().max(0.0);
-            drawn -= places;
-            places > 0.0 && drawn <= 0.0
+            let weight = room.weight();
+            drawn -= weight;
+            weight > 0.0 && drawn <= 0.0
         });
         match taken {
             Some(taken) => rooms.into_iter().nth(taken),
@@ -219,6 +243,15 @@
         }
     }
 
+    /// Returns this gateway's part of a group's room, if its lead tells the load.
+    fn allowance(&mut self, room: &Room, now: Monotonic) -> Option<Allowance> {
+        let told = now.saturating_sub(room.traffic.told?);
+        let draw = self.rng.random();
+        let allowance = self.allowances.entry(room.group.clone()).or_default();
+        allowance.hear(told, room.room(), room.gateways, draw);
+        Some(*allowance)
+    }
+
     /// Takes the pause between two events of a stream of `group`.
     pub fn observe(&mut self, plan: &Plan, group: &GroupId, pause: Duration, now: Monotonic) {
         let (Some(engine), Some(longest)) = (plan.engine, plan.route.longest_pause) else {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
+use crate::allowance::Allowance;
 use crate::group::Groups;
 use crate::knowledge::Knowledge;
 use crate::neighbour::Roster;
@@ -68,6 +69,7 @@
     bounds: Bounds,
     table: Option<Arc<Table>>,
     pub(crate) paces: HashMap<GroupId, Group>,
+    pub(crate) allowances: HashMap<GroupId, Allowance>,
     budget: Budget<ServiceId, ServiceId>,
     pub(crate) rng: ChaCha8Rng,
     /// Upstreams.
@@ -95,6 +97,7 @@
             failure_domain,
             table: None,
             paces: HashMap::new(),
+            allowances: HashMap::new(),
             groups: Groups::default(),
             budget: Budget::new(shares(&bounds, None)),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -273,6 +276,9 @@
             self.budget.first(now, &plan.service, &plan.service);
         }
         let group = self.group_of(&choice.upstream);
+        if let Some(allowance) = self.allowances.get_mut(&group) {
+            allowance.spend();
+        }
         Ok((choice, group))
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! messages.
 
 mod admission;
+mod allowance;
 pub mod event;
 pub mod gateway;
 pub mod group;
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -13,8 +13,8 @@
 use crate::route::Engine;
 
 /// Part of the longest pause that the mean pass may take: single passes are longer than the mean by
-/// the prompts that are read in them. On the users' larger deployments 0.66 to 0.75 served fewer in time, and 0.9
-/// no more.
+/// the prompts that are read in them. On the users' larger deployments 0.65 to 0.75 served fewer in time, since a
+/// refused caller comes back late for certain, and 0.9 no more.
 const TARGET_PART: f64 = 0.82;
 /// Factor before anything was seen: the most loaded rank on an untuned map has about three times the
 /// mean (measured: 3.15), and most of the work goes to experts.
@@ -48,6 +48,15 @@
     pub factor: f64,
 }
 
+impl Prediction {
+    /// Returns how long a usual stream runs at this pace.
+    #[must_use]
+    pub fn stream(&self, engine: &Engine) -> Duration {
+        let passes = (engine.usual_answer / f64::from(engine.steps.max(1))).max(1.0);
+        self.pass.max(engine.step).mul_f64(passes)
+    }
+}
+
 /// What this gateway knows of one group's pace.
 #[derive(Clone, Debug)]
 pub struct Group {
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -33,8 +33,6 @@
 pub struct Load {
     /// Requests that run or wait there, those on their way included.
     pub requests: u32,
-    /// Own sends that the last report can't hold.
-    pub sent: u32,
     /// Age of the report.
     pub age: Duration,
 }
@@ -72,7 +70,6 @@
         let sent = report.carried + report.newest;
         (age < AGE).then_some(Load {
             requests: report.requests + sent,
-            sent,
             age,
         })
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -53,12 +53,14 @@
     pub prediction: Prediction,
     /// Requests at the group.
     pub in_flight: u32,
-    /// Own ones among them that count against this gateway's share of the group.
+    /// Requests in flight of this gateway.
     pub own: u32,
     /// Gateways that share the group.
     pub gateways: usize,
     /// Age of the lead's word; none if this gateway's and its neighbours' counts stand in.
     pub told: Option<Duration>,
+    /// Requests that this gateway may still send of its share; below zero if it is ahead of it.
+    pub allowance: Option<f64>,
 }
 
 /// A request that is not served; none of these has run.
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -40,25 +40,13 @@
     }
 }
 
-/// Returns one gateway of many that knows the ranks of some groups.
-fn gateway(groups: u16) -> Gateway {
-    let mut gateway = blank();
-    gateway.set_table(table(3));
-    for group in 0..groups {
-        for rank in 0..RANKS {
-            let id = format!("rank-{group}-{rank}");
-            let upstream = upstream(&id, "model", State::Ready);
-            gateway.pool.insert(Upstream {
-                address: engine(group, rank),
-                ..upstream
-            });
-        }
-    }
+/// Lets all other gateways and the store be heard.
+fn beat(gateway: &mut Gateway, beat: u64, now: u64) {
     for number in 1..GATEWAYS {
         let from = Entry {
             instance: format!("gateway-{number}").into(),
             incarnation: 1,
-            beat: 1,
+            beat,
             failure_domain: "north".into(),
             callers: ([10, 0, 1, 1], number).into(),
             peers: ([10, 0, 2, 1], number).into(),
@@ -70,9 +58,26 @@
             counts: Vec::new(),
             others: Vec::new(),
         };
-        gateway.roster.hear(&beat, millis(1_000));
+        gateway.roster.hear(&beat, millis(now));
+    }
+    let _ = gateway.knowledge.confirm(millis(now), millis(now));
+}
+
+/// Returns one gateway of many that knows the ranks of some groups.
+fn gateway(groups: u16) -> Gateway {
+    let mut gateway = blank();
+    gateway.set_table(table(3));
+    for group in 0..groups {
+        for rank in 0..RANKS {
+            let id = format!("rank-{group}-{rank}");
+            let upstream = upstream(&id, "model", State::Ready);
+            gateway.pool.insert(Upstream {
+                address: engine(group, rank),
+                ..upstream
+            });
+        }
     }
-    let _ = gateway.knowledge.confirm(millis(1_000), millis(1_000));
+    beat(&mut gateway, 1, 1_000);
     gateway
 }
 
@@ -163,3 +168,40 @@
     assert_that!(requests(&reports, 500), some(eq(6)));
     assert_that!(requests(&reports, 1_100), none());
 }
+
+/// Pattern: callers come unevenly, and a gateway gets several within one word of the lead while the group has
+/// room (seen on a larger deployment: refused with 156 of 213 places taken).
+#[gtest]
+fn a_gateway_sends_in_one_word_what_it_kept_of_those_before() {
+    let mut gateway = gateway(1);
+    for word in 0..10 {
+        let now = 1_000 + word * 200;
+        beat(&mut gateway, word + 2, now);
+        gateway.hear(&digest(0, 10), millis(now));
+        let plan = ask(&mut gateway, "/draft/", Some("key-1"), now).expect("a plan");
+        // It looks at each word, and sends nothing.
+        let _ = gateway.admit(&plan, millis(now));
+    }
+    // 48 places are free, little more than one for each gateway.
+    assert_that!(flood(&mut gateway, 2_900), all!(ge(4), le(5)));
+}
+
+/// Pattern: passes are as long as they may be, and streams end all the while; what they free is not lost to callers.
+#[gtest]
+fn places_of_streams_that_end_are_given_out_again() {
+    let mut gateway = gateway(1);
+    let mut sent = 0;
+    for word in 0..40 {
+        let now = 1_000 + word * 200;
+        beat(&mut gateway, word + 2, now);
+        gateway.hear(&digest(0, 10), millis(now));
+        let plan = ask(&mut gateway, "/draft/", Some("key-1"), now).expect("a plan");
+        gateway.observe(&plan, &"g0".into(), millis(100), millis(now));
+        // Before that the gateway learns how long passes are.
+        if word >= 20 {
+            sent += flood(&mut gateway, now);
+        }
+    }
+    // With passes of 100 ms 240 streams are 6 too many, and 17 end in each word: 11 for forty gateways.
+    assert_that!(sent, all!(ge(3), le(7)));
+}
--- a/crates/relay/src/tell.rs
+++ b/crates/relay/src/tell.rs
@@ -53,6 +53,7 @@
         group_in_flight:? = basis.map(|basis| basis.in_flight),
         group_own:? = basis.map(|basis| basis.own),
         group_told_ms:? = basis.and_then(|basis| basis.told).map(millis),
+        allowance:? = basis.and_then(|basis| basis.allowance),
         gateways:? = basis.map(|basis| basis.gateways),
         most:? = prediction.map(|prediction| prediction.most),
         pass_ms:? = prediction.map(|prediction| millis(prediction.pass)),
