--- a/crates/lockstep/src/coordinator.rs
+++ b/crates/lockstep/src/coordinator.rs
@@ -96,6 +96,8 @@
     popularity: Popularity,
     in_force: Option<Known>,
     next: Option<Known>,
+    /// Map in force that all ranks were sent whole or by its difference.
+    shared: Option<Known>,
     change: Option<Change>,
     began: Monotonic,
     given: Given,
@@ -118,6 +120,7 @@
             popularity: Popularity::new(shape.layers, shape.experts),
             in_force: None,
             next: None,
+            shared: None,
             change: None,
             began: now,
             given: Given::default(),
@@ -221,6 +224,7 @@
         self.given.clear();
         self.in_force = None;
         self.next = None;
+        self.shared = None;
         self.stage = Stage::Relief;
         self.notes.push(Note::Formed(epoch));
     }
@@ -272,6 +276,7 @@
         }
         let size = first.size;
         let next = self.next.take_if(|known| known.version == version);
+        self.shared.clone_from(&next);
         let known = next.map(|known| known.layout).or_else(|| {
             let is_initial = version == 0;
             is_initial.then(|| Arc::new(Layout::initial(&self.shape, size)))
@@ -435,16 +440,21 @@
     }
 
     fn give(&mut self, rank: Rank, epoch: Epoch, order: Order, now: Monotonic) -> Send {
+        let is_repeated = self.given.is_repeated(rank, order);
         self.given.note(rank, order, now);
-        let layout = match order {
-            Order::Prepare(_) => self.next.as_ref().map(|next| Arc::clone(&next.layout)),
-            Order::Hold(_) | Order::Arm(_) | Order::Release(_) => None,
+        let (layout, base) = match order {
+            Order::Prepare(_) => (
+                self.next.as_ref().map(|next| Arc::clone(&next.layout)),
+                self.shared.clone().filter(|_| !is_repeated),
+            ),
+            Order::Hold(_) | Order::Arm(_) | Order::Release(_) => (None, None),
         };
         Send {
             rank,
             epoch,
             order,
             layout,
+            base: base.map(|known| (known.version, known.layout)),
         }
     }
 }
--- a/crates/lockstep/src/given.rs
+++ b/crates/lockstep/src/given.rs
@@ -28,6 +28,11 @@
         self.0.insert(rank, (order, now));
     }
 
+    /// Returns whether this was the last order to the rank already.
+    pub(crate) fn is_repeated(&self, rank: Rank, order: Order) -> bool {
+        self.0.get(&rank).is_some_and(|(given, _)| *given == order)
+    }
+
     /// Forgets all orders.
     pub(crate) fn clear(&mut self) {
         self.0.clear();
--- a/crates/lockstep/src/message.rs
+++ b/crates/lockstep/src/message.rs
@@ -8,7 +8,7 @@
 
 use crate::change::Order;
 use crate::deputy::Pledge;
-use crate::layout::Layout;
+use crate::layout::Parcel;
 use crate::layout::Shape;
 use crate::sight::Epoch;
 use crate::sight::Sight;
@@ -113,5 +113,5 @@
     /// Order.
     pub order: Order,
     /// Layout to prepare.
-    pub layout: Option<Layout>,
+    pub layout: Option<Parcel>,
 }
--- a/crates/lockstep/src/told.rs
+++ b/crates/lockstep/src/told.rs
@@ -8,6 +8,7 @@
 use crate::change::Order;
 use crate::change::Phase;
 use crate::layout::Layout;
+use crate::layout::Parcel;
 use crate::plan::Plan;
 use crate::sight::Epoch;
 use crate::sight::Version;
@@ -23,6 +24,20 @@
     pub order: Order,
     /// Layout to prepare.
     pub layout: Option<Arc<Layout>>,
+    /// Map in force, if the rank most likely knows it: then what differs from it is enough.
+    pub base: Option<(Version, Arc<Layout>)>,
+}
+
+impl Send {
+    /// Returns the layout as it goes to another instance: as little as is enough.
+    #[must_use]
+    pub fn parcel(&self) -> Option<Parcel> {
+        let layout = self.layout.as_ref()?;
+        Some(match &self.base {
+            Some((version, base)) => Parcel::changed(*version, base, layout),
+            None => Parcel::Whole((**layout).clone()),
+        })
+    }
 }
 
 /// Whose turn it is to be told, where a word goes to some of very many only.
--- a/crates/lockstep/tests/all/coordinator.rs
+++ b/crates/lockstep/tests/all/coordinator.rs
@@ -233,3 +233,26 @@
     }
     assert_that!(prepares[1] - prepares[0], le(Duration::from_millis(100)));
 }
+
+/// Pattern: the same, within a lead that lives on: from its second change on it sends what differs, and all of it to a
+/// rank that does not act on that.
+#[gtest]
+fn a_rank_is_sent_what_differs_first_and_all_of_it_when_it_does_not_act() {
+    let shape = Shape {
+        layers: 2,
+        copy: Duration::from_millis(60),
+        ..SHAPE
+    };
+    let mut world = World::of(shape);
+    let mut sent = Vec::new();
+    while world.begun.len() < 2 {
+        sent = world.turn_after(Duration::from_millis(40));
+    }
+    assert_that!(sent.iter().all(|send| send.base.is_some()), eq(true));
+    world.deaf = Some(1);
+    world.engines[1].prepared = None;
+    let again = (0..4).flat_map(|_| world.turn_after(Duration::from_millis(40)));
+    let again: Vec<_> = again.filter(|send| send.rank == 1).collect();
+    assert_that!(again, not(is_empty()));
+    assert_that!(again.iter().all(|send| send.base.is_none()), eq(true));
+}
--- a/crates/lockstep/tests/all/main.rs
+++ b/crates/lockstep/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod coordinator;
 mod deputy;
 mod explore;
+mod layout;
 mod message;
 mod plan;
 mod popularity;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -13,10 +13,12 @@
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::coordinator::HOLDER;
 use auburnline_lockstep::deputy::Deputy;
+use auburnline_lockstep::layout::Layout;
 use auburnline_lockstep::message::Members;
 use auburnline_lockstep::message::Message;
 use auburnline_lockstep::message::Show;
 use auburnline_lockstep::sight::Epoch;
+use auburnline_lockstep::sight::Version;
 use auburnline_lockstep::told::Turn;
 use serde::Serialize;
 use tokio::net::UdpSocket;
@@ -78,6 +80,8 @@
     /// When the others were told who leads.
     announced: Monotonic,
     deputy: Deputy,
+    /// Maps that orders to prepare brought: the one in force, and the next.
+    layouts: Vec<(Version, Layout)>,
     /// Who gave the order after which the rank is looked at.
     asked_by: Option<SocketAddr>,
     /// Gateways whose turn it is to be told of the group.
@@ -109,6 +113,7 @@
             shown: None,
             announced: Monotonic::ZERO,
             deputy: Deputy::default(),
+            layouts: Vec::new(),
             asked_by: None,
             turn: Turn::default(),
             is_reachable: true,
--- a/crates/sidecar/src/sidecar/following.rs
+++ b/crates/sidecar/src/sidecar/following.rs
@@ -6,7 +6,10 @@
 
 use auburnline_core::id::Step;
 use auburnline_core::time::Monotonic;
+use auburnline_lockstep::change::Order;
 use auburnline_lockstep::coordinator::HOLDER;
+use auburnline_lockstep::layout::Layout;
+use auburnline_lockstep::layout::Parcel;
 use auburnline_lockstep::message::Command;
 use auburnline_lockstep::message::Message;
 use auburnline_lockstep::message::Show;
@@ -105,14 +108,37 @@
         }
     }
 
+    /// Returns the layout that comes with an order, and keeps it; the version that it builds on if that is not
+    /// known here.
+    fn unpack(&mut self, order: Order, parcel: Option<Parcel>) -> Result<Option<Layout>, Version> {
+        let (Order::Prepare(version), Some(parcel)) = (order, parcel) else {
+            return Ok(None);
+        };
+        let base = parcel.base();
+        let Some(layout) = parcel.open(&self.layouts) else {
+            return Err(base.unwrap_or_default());
+        };
+        // A change that is given up leaves its map behind; the one in force is the one built on.
+        self.layouts.retain(|(known, _)| Some(*known) == base);
+        self.layouts.push((version, layout.clone()));
+        Ok(Some(layout))
+    }
+
     /// Passes an order of the one that leads or its deputy on, and shows what came of it.
     pub(super) async fn follow(&mut self, command: Command, from: SocketAddr) {
         let is_ours = self.group.as_ref() == Some(&command.group);
         if !is_ours || self.epoch != Some(command.epoch) {
             return;
         }
-        let layout = command.layout.as_ref();
-        give(&self.engine, command.epoch, command.order, layout).await;
+        let layout = match self.unpack(command.order, command.layout) {
+            Ok(layout) => layout,
+            Err(base) => {
+                // The lead sends all of it once it sees that nothing is copied here.
+                log::info!(target: "experts", group = command.group.as_str(), base, order:? = command.order; "map not known");
+                return;
+            }
+        };
+        give(&self.engine, command.epoch, command.order, layout.as_ref()).await;
         self.hasten(command.order);
         self.shown = None;
         self.asked_by = Some(from);
--- a/crates/sidecar/src/sidecar/leading.rs
+++ b/crates/sidecar/src/sidecar/leading.rs
@@ -122,14 +122,17 @@
         {
             self.tell(&Message::Pledge(pledge), deputy).await;
         }
-        for send in sends {
+        // Others first: an answer of the own engine that is lost would hold their orders up.
+        let (own, others): (Vec<_>, Vec<_>) =
+            sends.into_iter().partition(|send| send.rank == HOLDER);
+        for send in others {
             self.hasten(send.order);
-            if send.rank == HOLDER {
-                let layout = send.layout.as_deref();
-                give(&self.engine, send.epoch, send.order, layout).await;
-            } else {
-                self.pass_on(send).await;
-            }
+            self.pass_on(send).await;
+        }
+        for send in own {
+            self.hasten(send.order);
+            let layout = send.layout.as_deref();
+            give(&self.engine, send.epoch, send.order, layout).await;
         }
     }
 
@@ -144,7 +147,7 @@
             group: lead.group().to_owned(),
             epoch: send.epoch,
             order: send.order,
-            layout: send.layout.map(|layout| (*layout).clone()),
+            layout: send.parcel(),
         };
         self.tell(&Message::Command(command), address).await;
     }
