Hold a group at another rank than its lead's, and let the sidecar there end a hold whose lead is silent

The engine that holds could not be reached, since it is on the frozen instance, and its deputy could not know whether ranks were armed. Change: rank 1 holds; the lead beside rank 0 gives hold and release straight to that engine, and arms rank 1 first and through its sidecar alone, the others once rank 1 was seen armed. So while that sidecar passed no order to arm on, nobody is armed, and it may end the hold 0.4 s after its lead fell silent.

A coordinator now holds only passes that none before may have held. - 216 looks that never settled: a late hold of an earlier pass after all were armed was left standing. It is released now. After: 0 of 3,000,001 states with two maps, 0 stuck; a planted deputy that ends holds for which ranks may be armed is caught.

--- a/crates/lockstep/src/change.rs
+++ b/crates/lockstep/src/change.rs
@@ -2,7 +2,8 @@
 //!
 //! 1. *Prepare*: each rank copies the weights of the new map while it runs on.
 //! 2. *Hold*: once all ranks were seen prepared, one rank holds the group before a pass S to come.
-//! 3. *Arm*: only once the hold was seen, each rank is told to switch as S begins.
+//! 3. *Arm*: only once the hold was seen, each rank is told to switch as S begins; the one that holds first, and the
+//!    others once it was seen armed. Until it is told to arm, its own sidecar may end the hold (see [`crate::deputy`]).
 //! 4. *Release*: only once all ranks were seen armed for S, the hold is let go.
 //!
 //! Orders may be lost, doubled, or carried out seconds later. What was seen stays true within an
@@ -53,6 +54,9 @@
     epoch: Epoch,
     version: Version,
     phase: Phase,
+    /// Newest pass that a coordinator before may have held: its orders may come late and twice, and a late release
+    /// of a pass would end the hold of this change.
+    floor: Step,
 }
 
 /// What comes next.
@@ -67,13 +71,15 @@
 }
 
 impl Change {
-    /// Begins a change; `version` was never used before in this epoch.
+    /// Begins a change; `version` was never used before in this epoch. It holds a pass after `floor`, the newest that
+    /// a coordinator before may have held.
     #[must_use]
-    pub const fn new(epoch: Epoch, version: Version) -> Change {
+    pub const fn new(epoch: Epoch, version: Version, floor: Step) -> Change {
         Change {
             epoch,
             version,
             phase: Phase::Preparing,
+            floor,
         }
     }
 
@@ -81,7 +87,7 @@
     ///
     /// `holder` is the rank that holds. All ranks must have been seen.
     #[must_use]
-    pub fn found(sights: &[&Sight], holder: Rank) -> Option<Change> {
+    pub fn found(sights: &[&Sight], holder: Rank, floor: Step) -> Option<Change> {
         let epoch = sights.first()?.epoch;
         let armed = sights.iter().find_map(|sight| sight.armed);
         let holding = sights.iter().find(|sight| sight.rank == holder)?.held;
@@ -103,6 +109,7 @@
             epoch,
             version,
             phase,
+            floor,
         })
     }
 
@@ -151,6 +158,10 @@
             if !waiting.is_empty() {
                 return orders(&waiting, Order::Prepare(self.version));
             }
+            if newest + ahead <= self.floor {
+                // Passes have to begin first; a group that makes none has nothing to gain.
+                return Progress::Orders(Vec::new());
+            }
             self.phase = Phase::Holding(newest + ahead);
         }
         if let Phase::Holding(step) = self.phase {
@@ -168,6 +179,16 @@
                 version: self.version,
                 step,
             };
+            let is_switched = held.version == self.version;
+            if held.step >= step && !is_switched {
+                // The hold was ended before its rank was armed, so that no rank was.
+                let step = newest + ahead;
+                self.phase = Phase::Holding(step);
+                return orders(&[holder], Order::Hold(step));
+            }
+            if held.armed != Some(switch) && !is_switched {
+                return orders(&[holder], Order::Arm(switch));
+            }
             let waiting: Vec<_> = unarmed(sights, switch).collect();
             if !waiting.is_empty() {
                 return orders(&waiting, Order::Arm(switch));
@@ -196,8 +217,10 @@
     fn stray(&self, holder: &Sight) -> Option<Step> {
         let is_stray = |step: &Step| match self.phase {
             Phase::Preparing => true,
-            Phase::Holding(own) => *step != own,
-            Phase::Arming(_) | Phase::Releasing(_) => false,
+            // Once all are armed an earlier pass may begin.
+            Phase::Holding(own) | Phase::Releasing(own) => *step != own,
+            // Until then it keeps the pass to come from beginning.
+            Phase::Arming(_) => false,
         };
         holder.held.filter(is_stray)
     }
@@ -213,7 +236,7 @@
 #[must_use]
 pub fn stray(sights: &[&Sight], holder: Rank) -> Option<Step> {
     let is_armed = sights.iter().any(|sight| sight.armed.is_some());
-    if is_armed || Change::found(sights, holder).is_some() {
+    if is_armed || Change::found(sights, holder, 0).is_some() {
         return None;
     }
     sights.iter().find(|sight| sight.rank == holder)?.held
--- a/crates/lockstep/src/coordinator.rs
+++ b/crates/lockstep/src/coordinator.rs
@@ -35,8 +35,10 @@
 use crate::told::Pulse;
 use crate::told::Send;
 
-/// Rank beside which the coordinator runs; it also holds.
-pub const HOLDER: Rank = 0;
+/// Rank beside which the coordinator runs.
+pub const LEADER: Rank = 0;
+/// Rank that holds: not the leader's, whose instance may freeze right after it gave the order.
+pub const HOLDER: Rank = 1;
 /// Age of a sight beyond which a rank counts as out of reach.
 const SIGHT_AGE: Duration = Duration::from_millis(1_200);
 /// Longest time to prepare a change; then another one is planned.
@@ -106,6 +108,8 @@
     given: Given,
     planned_at: Monotonic,
     stage: Stage,
+    /// Newest pass that a coordinator before may have held in this epoch; zero until ranks were seen.
+    floor: Step,
     /// Time of day at the start of the process.
     started: Duration,
     notes: Vec<Note>,
@@ -130,6 +134,7 @@
             given: Given::default(),
             planned_at: now,
             stage: Stage::Relief,
+            floor: 0,
             started,
             notes: Vec::new(),
         }
@@ -235,6 +240,7 @@
         self.in_force = None;
         self.next = None;
         self.shared = None;
+        self.floor = 0;
         self.stage = Stage::Relief;
         self.notes.push(Note::Formed(epoch));
     }
@@ -245,6 +251,7 @@
             return Vec::new();
         }
         self.settle();
+        self.learn_floor();
         if self.change.is_none() {
             self.take_over(now);
         }
@@ -257,6 +264,14 @@
         self.advance(now)
     }
 
+    /// Learns which pass a coordinator before may have held at most: it saw no newer one than this one sees first.
+    fn learn_floor(&mut self) {
+        if self.floor == 0 {
+            let steps = self.members.values().map(|member| member.sight.step);
+            self.floor = steps.max().unwrap_or(0) + AHEAD;
+        }
+    }
+
     /// Returns whether each rank was seen.
     fn is_whole(&self) -> bool {
         let size = self.members.values().next().map(|member| member.sight.size);
@@ -312,7 +327,7 @@
     }
 
     fn take_over(&mut self, now: Monotonic) {
-        let Some(change) = Change::found(&self.sights(), HOLDER) else {
+        let Some(change) = Change::found(&self.sights(), HOLDER, self.floor) else {
             return;
         };
         self.notes
@@ -345,7 +360,7 @@
             version,
             layout: Arc::new(plan.layout.clone()),
         });
-        self.change = Some(Change::new(epoch, version));
+        self.change = Some(Change::new(epoch, version, self.floor));
         self.began = now;
         self.given.clear();
         self.notes.push(Note::Begun(version, plan));
--- a/crates/lockstep/src/deputy.rs
+++ b/crates/lockstep/src/deputy.rs
@@ -1,17 +1,19 @@
-//! The sidecar beside rank 1, which ends a hold whose lead fell silent.
+//! The sidecar beside the rank that holds, which ends a hold whose lead fell silent.
 //!
 //! A hold does not expire. If the lead freezes or dies between a hold and its release, the whole group stands
-//! still until it is back. So the lead tells the deputy of each hold it is about to order, and a deputy that
-//! then hears nothing takes that one change forward: it arms all ranks for the pledged switch once it saw the
-//! hold itself, and releases once it saw all armed. It begins nothing and ends nothing else. Each of its
-//! orders is one that the lead would give, so both may act at once; what comes after the pass began, or in
-//! another epoch, is refused.
+//! still until it is back, although it would run on without its sidecars. So the lead tells the deputy of each hold
+//! it is about to order, and arms the deputy's rank first and by the deputy alone. A deputy that then hears nothing
+//! ends the hold as long as it passed no order to arm on: nobody is armed, so the pass begins on the map in force.
+//! Once it passed one on, others may be armed, and it takes the change forward: it arms all ranks for the pledged switch
+//! and releases once it saw all armed. Each of its orders is one that the lead would give, so both may act at
+//! once; what comes after the pass began, or in another epoch, is refused.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use auburnline_core::id::Rank;
+use auburnline_core::id::Step;
 use auburnline_core::time::Monotonic;
 use serde::Deserialize;
 use serde::Serialize;
@@ -23,7 +25,7 @@
 use crate::sight::Switch;
 
 /// Rank beside which the deputy runs.
-pub const DEPUTY: Rank = 1;
+pub const DEPUTY: Rank = HOLDER;
 /// Silence of the lead after which the deputy acts: two of its words. Callers meet a pause of half a second
 /// then, in place of the seconds for which an instance freezes.
 const PATIENCE: Duration = Duration::from_millis(400);
@@ -39,10 +41,8 @@
     pub epoch: Epoch,
     /// Switch that all ranks are to be armed for.
     pub switch: Switch,
-    /// Sidecars of the other ranks.
+    /// Sidecars of the ranks.
     pub sidecars: Vec<(Rank, SocketAddr)>,
-    /// Engine that holds.
-    pub holder: SocketAddr,
 }
 
 /// State of the deputy.
@@ -53,16 +53,55 @@
     heard: Monotonic,
     /// Ranks that were seen armed for the pledged switch, or switched.
     armed: BTreeSet<Rank>,
+    /// Epoch of the passes below.
+    epoch: Epoch,
+    /// Newest pass for which an order to arm the own rank was passed on.
+    passed: Step,
+    /// Newest pass whose hold was ended; no order to arm for it or an earlier one is passed on any more.
+    ended: Step,
 }
 
 impl Deputy {
-    /// Takes the pledge of a hold.
-    pub fn pledge(&mut self, pledge: Pledge, now: Monotonic) {
-        if self.pledge.as_ref() != Some(&pledge) {
+    /// Takes the pledge of a hold; returns whether it was known.
+    pub fn pledge(&mut self, pledge: Pledge, now: Monotonic) -> bool {
+        let is_known = self.pledge.as_ref() == Some(&pledge);
+        if !is_known {
             self.armed.clear();
         }
+        self.enter(pledge.epoch);
         self.pledge = Some(pledge);
         self.heard = now;
+        is_known
+    }
+
+    fn enter(&mut self, epoch: Epoch) {
+        if self.epoch != epoch {
+            self.epoch = epoch;
+            self.passed = 0;
+            self.ended = 0;
+        }
+    }
+
+    /// Returns whether an order to arm the own rank may be passed on to its engine, and takes that it is.
+    pub fn may_arm(&mut self, epoch: Epoch, switch: Switch) -> bool {
+        self.enter(epoch);
+        let may_arm = switch.step > self.ended;
+        if may_arm {
+            self.passed = self.passed.max(switch.step);
+        }
+        may_arm
+    }
+
+    /// Ends the pledged hold if nobody can be armed for it; returns the pass to release at the own rank.
+    pub fn end(&mut self, own: &Sight) -> Option<Step> {
+        let pledge = self.pledge.as_ref()?;
+        let step = pledge.switch.step;
+        let is_held = own.epoch == pledge.epoch && own.held == Some(step);
+        if !is_held || self.passed >= step {
+            return None;
+        }
+        self.ended = self.ended.max(step);
+        Some(step)
     }
 
     /// Takes that the lead speaks.
@@ -94,7 +133,7 @@
         }
     }
 
-    /// Says what to order, given the state of the rank that holds.
+    /// Says what to order to take the change forward, given the state of the own rank.
     #[must_use]
     pub fn orders(&mut self, holder: &Sight) -> Vec<(Rank, Order)> {
         self.see(holder);
@@ -106,6 +145,9 @@
         if holder.epoch != pledge.epoch || holder.held != Some(switch.step) {
             return Vec::new();
         }
+        if self.passed < switch.step {
+            return Vec::new();
+        }
         let unarmed = (0..holder.size).filter(|rank| !self.armed.contains(rank));
         let orders: Vec<_> = unarmed.map(|rank| (rank, Order::Arm(switch))).collect();
         if orders.is_empty() {
--- a/crates/lockstep/tests/all/change.rs
+++ b/crates/lockstep/tests/all/change.rs
@@ -38,7 +38,7 @@
 
 #[gtest]
 fn only_ranks_without_the_weights_are_told_to_prepare() {
-    let mut change = Change::new(1, 7);
+    let mut change = Change::new(1, 7, 0);
     let progress = advance(&mut change, &[prepared(), Engine::default()]);
     assert_that!(
         progress,
@@ -48,7 +48,7 @@
 
 #[gtest]
 fn no_rank_is_armed_before_the_hold_was_seen() {
-    let mut change = Change::new(1, 7);
+    let mut change = Change::new(1, 7, 0);
     let progress = advance(&mut change, &[prepared(), prepared()]);
     assert_that!(progress, eq(&Progress::Orders(vec![(0, Order::Hold(12))])));
     let progress = advance(&mut change, &[prepared(), prepared()]);
@@ -57,7 +57,7 @@
 
 #[gtest]
 fn the_hold_stands_until_all_are_armed() {
-    let mut change = Change::new(1, 7);
+    let mut change = Change::new(1, 7, 0);
     let mut holder = prepared();
     let _ = advance(&mut change, &[holder.clone(), prepared()]);
     holder.held = Some(12);
@@ -76,9 +76,41 @@
     );
 }
 
+/// Until the rank that holds is told to arm, its own sidecar may end the hold.
+#[gtest]
+fn others_are_armed_only_after_the_rank_that_holds() {
+    let mut change = Change::new(1, 7, 0);
+    let mut holder = prepared();
+    let _ = advance(&mut change, &[holder.clone(), prepared()]);
+    holder.held = Some(12);
+    let progress = advance(&mut change, &[holder, prepared()]);
+    assert_that!(
+        progress,
+        eq(&Progress::Orders(vec![(0, Order::Arm(SWITCH))]))
+    );
+}
+
+/// Pattern: a lead froze right after the hold, and its deputy ended that; the lead wakes up.
+#[gtest]
+fn a_hold_that_was_ended_is_ordered_anew_for_a_later_pass() {
+    let mut change = Change::new(1, 7, 0);
+    let mut holder = prepared();
+    let _ = advance(&mut change, &[holder.clone(), prepared()]);
+    holder.held = Some(12);
+    let _ = advance(&mut change, &[holder, prepared()]);
+    let ranks = [prepared(), prepared()];
+    let sights: Vec<Sight> = ranks
+        .iter()
+        .zip(0..)
+        .map(|(engine, rank)| engine.sight(rank, 2, 40))
+        .collect();
+    let progress = change.advance(&sights.iter().collect::<Vec<_>>(), 0, 2);
+    assert_that!(progress, eq(&Progress::Orders(vec![(0, Order::Hold(42))])));
+}
+
 #[gtest]
 fn a_new_epoch_voids_a_change() {
-    let mut change = Change::new(1, 7);
+    let mut change = Change::new(1, 7, 0);
     let mut sights = sights(&[prepared(), prepared()]);
     sights[1].epoch = 2;
     let progress = change.advance(&sights.iter().collect::<Vec<_>>(), 0, 2);
@@ -90,7 +122,7 @@
     let mut holder = prepared();
     holder.held = Some(12);
     let sights = sights(&[holder, prepared()]);
-    let found = Change::found(&sights.iter().collect::<Vec<_>>(), 0);
+    let found = Change::found(&sights.iter().collect::<Vec<_>>(), 0, 0);
     let found = found.expect("a change under way");
     assert_that!(found.phase(), eq(Phase::Arming(12)));
     assert_that!(found.version(), eq(7));
@@ -99,5 +131,8 @@
 #[gtest]
 fn nothing_is_found_where_nothing_is_under_way() {
     let sights = sights(&[prepared(), prepared()]);
-    assert_that!(Change::found(&sights.iter().collect::<Vec<_>>(), 0), none());
+    assert_that!(
+        Change::found(&sights.iter().collect::<Vec<_>>(), 0, 0),
+        none()
+    );
 }
--- a/crates/lockstep/tests/all/deputy.rs
+++ b/crates/lockstep/tests/all/deputy.rs
@@ -22,8 +22,7 @@
         group: "g0".to_owned(),
         epoch: 1,
         switch: SWITCH,
-        sidecars: vec![(1, ([10, 0, 0, 2], 1).into())],
-        holder: ([10, 0, 0, 1], 1).into(),
+        sidecars: vec![(0, ([10, 0, 0, 1], 1).into())],
     }
 }
 
@@ -67,28 +66,68 @@
     assert_that!(deputy.due(&anew, millis(450)), none());
 }
 
+/// Pattern: the same. The group runs on while instances beside its ranks are frozen; only the hold stops it.
+#[gtest]
+fn a_hold_whose_lead_fell_silent_is_ended_while_nobody_can_be_armed() {
+    let mut deputy = pledged();
+    let mut own = sight(1, 11);
+    assert_that!(deputy.end(&own), none());
+    own.held = Some(SWITCH.step);
+    assert_that!(deputy.end(&own), some(eq(SWITCH.step)));
+    // The lead wakes up and wants to go on.
+    assert_that!(deputy.may_arm(1, SWITCH), eq(false));
+    assert_that!(deputy.orders(&own), is_empty());
+    let later = Switch { step: 20, ..SWITCH };
+    assert_that!(deputy.may_arm(1, later), eq(true));
+}
+
+#[gtest]
+fn a_hold_is_not_ended_once_an_order_to_arm_was_passed_on() {
+    let mut deputy = pledged();
+    let mut own = sight(1, 11);
+    own.held = Some(SWITCH.step);
+    assert_that!(deputy.may_arm(1, SWITCH), eq(true));
+    assert_that!(deputy.end(&own), none());
+    // The same pledge, come late or twice, changes nothing.
+    deputy.pledge(pledge(), millis(10));
+    assert_that!(deputy.end(&own), none());
+}
+
+#[gtest]
+fn a_new_epoch_begins_with_no_hold_ended() {
+    let mut deputy = pledged();
+    let mut own = sight(1, 11);
+    own.held = Some(SWITCH.step);
+    let _ = deputy.end(&own);
+    assert_that!(deputy.may_arm(2, SWITCH), eq(true));
+}
+
 #[gtest]
 fn nobody_is_armed_without_the_hold_and_nothing_released_before_all_are_armed() {
     let mut deputy = pledged();
-    assert_that!(deputy.orders(&sight(0, 10)), is_empty());
-    let mut holder = sight(0, 10);
+    let mut holder = sight(1, 10);
+    assert_that!(deputy.orders(&holder), is_empty());
     holder.held = Some(SWITCH.step);
+    assert_that!(deputy.may_arm(1, SWITCH), eq(true));
     let arm = Order::Arm(SWITCH);
     assert_that!(deputy.orders(&holder), eq(&vec![(0, arm), (1, arm)]));
     holder.armed = Some(SWITCH);
-    assert_that!(deputy.orders(&holder), eq(&vec![(1, arm)]));
-    let mut other = sight(1, 11);
+    assert_that!(deputy.orders(&holder), eq(&vec![(0, arm)]));
+    let mut other = sight(0, 11);
     other.armed = Some(SWITCH);
     deputy.see(&other);
     let release = Order::Release(SWITCH.step);
-    assert_that!(deputy.orders(&holder), eq(&vec![(0, release)]));
+    assert_that!(deputy.orders(&holder), eq(&vec![(1, release)]));
 }
 
 #[gtest]
 fn a_hold_of_another_pass_is_left_alone() {
     let mut deputy = pledged();
-    let mut holder = sight(0, 10);
+    assert_that!(deputy.may_arm(1, SWITCH), eq(true));
+    let mut holder = sight(1, 10);
     holder.held = Some(SWITCH.step + 1);
     assert_that!(deputy.orders(&holder), is_empty());
+    assert_that!(deputy.end(&holder), none());
     assert_that!(Deputy::default().orders(&holder), is_empty());
+    assert_that!(Deputy::default().end(&holder), none());
 }
--- a/crates/lockstep/tests/all/explore.rs
+++ b/crates/lockstep/tests/all/explore.rs
@@ -22,7 +22,7 @@
 use crate::explore::world::World;
 
 /// States after which a search is cut off, unless the environment says another number.
-const MOST_STATES: usize = 150_000;
+const MOST_STATES: usize = 400_000;
 /// Variable with the number of states after which a search is cut off.
 const STATES_VARIABLE: &str = "AUBURNLINE_STATES";
 
@@ -83,6 +83,7 @@
         kills,
         has_deputy: false,
         arms_unheld: false,
+        ends_armed: false,
     }
 }
 
@@ -166,6 +167,18 @@
     world
 }
 
+/// The search finds what a deputy that did not ask whether ranks may be armed would break.
+#[gtest]
+fn ending_a_hold_for_which_ranks_may_be_armed_is_caught() {
+    let planted = Bounds {
+        has_deputy: true,
+        ends_armed: true,
+        ..bounds(3, 2, 0)
+    };
+    let caught = (0..400).filter(|seed| dive(planted, *seed).is_mixed());
+    assert_that!(caught.count(), gt(0));
+}
+
 #[gtest]
 fn arming_without_a_hold_is_caught() {
     let planted = Bounds {
--- a/crates/lockstep/tests/all/explore/world.rs
+++ b/crates/lockstep/tests/all/explore/world.rs
@@ -20,7 +20,7 @@
 
 const AHEAD: Step = 2;
 /// Passes that are explored.
-const LAST_PASS: Step = 5;
+const LAST_PASS: Step = 6;
 
 /// What is explored.
 #[derive(Clone, Copy)]
@@ -32,6 +32,8 @@
     pub(crate) has_deputy: bool,
     /// Whether the fault is planted that ranks are armed without a hold.
     pub(crate) arms_unheld: bool,
+    /// Whether the fault is planted that the deputy ends holds for which ranks may be armed.
+    pub(crate) ends_armed: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -42,6 +44,8 @@
     sights: Vec<Option<Sight>>,
     change: Option<Change>,
     begun: Version,
+    /// Newest pass that a coordinator before may have held; zero until the ranks were seen.
+    floor: Step,
     kills: u8,
     deputy: Deputy,
     /// The rank that holds, as the deputy saw it last.
@@ -54,6 +58,8 @@
     Prepare(Version),
     Hold(Step),
     Arm(Version, Step),
+    /// The same, once the deputy passed it on.
+    ArmPassed(Version, Step),
     Release(Step),
 }
 
@@ -71,7 +77,9 @@
         match self {
             Key::Prepare(version) => Order::Prepare(version),
             Key::Hold(step) => Order::Hold(step),
-            Key::Arm(version, step) => Order::Arm(Switch { version, step }),
+            Key::Arm(version, step) | Key::ArmPassed(version, step) => {
+                Order::Arm(Switch { version, step })
+            }
             Key::Release(step) => Order::Release(step),
         }
     }
@@ -81,12 +89,14 @@
     pub(crate) fn new(bounds: Bounds) -> World {
         let ranks = usize::from(bounds.ranks);
         World {
-            step: 0,
+            // The first coordinator has seen a pass begin.
+            step: 1,
             engines: vec![Engine::default(); ranks],
             orders: BTreeSet::new(),
             sights: vec![None; ranks],
             change: None,
             begun: 0,
+            floor: AHEAD,
             kills: 0,
             deputy: Deputy::default(),
             holder: None,
@@ -98,7 +108,7 @@
         worlds.extend(self.begin_pass());
         for (rank, key) in &self.orders {
             let mut world = self.clone();
-            world.engines[usize::from(*rank)].order(key.order(), self.step);
+            world.carry_out(*rank, *key, bounds);
             worlds.push(world.clone());
             // Carried out and not to come again.
             world.orders.remove(&(*rank, *key));
@@ -111,11 +121,13 @@
         if bounds.has_deputy {
             worlds.extend((0..bounds.ranks).map(|rank| self.deputy_looks(rank, bounds)));
             worlds.push(self.stand_in());
+            worlds.push(self.end_hold(bounds));
         }
         if self.kills < bounds.kills {
             let mut world = self.clone();
             world.kills += 1;
             world.change = None;
+            world.floor = 0;
             world.sights.fill(None);
             worlds.push(world);
         }
@@ -123,6 +135,33 @@
         worlds
     }
 
+    /// Lets an order reach its engine; the deputy stands before the one that holds.
+    fn carry_out(&mut self, rank: Rank, key: Key, bounds: Bounds) {
+        match key {
+            Key::Arm(version, step) if bounds.has_deputy && rank == HOLDER => {
+                if self.deputy.may_arm(1, Switch { version, step }) {
+                    self.orders.insert((rank, Key::ArmPassed(version, step)));
+                } else {
+                    self.orders.insert((rank, Key::Release(step)));
+                }
+            }
+            _ => self.engines[usize::from(rank)].order(key.order(), self.step),
+        }
+    }
+
+    /// Lets the deputy end the hold on what it saw, as if its lead were silent.
+    fn end_hold(&self, bounds: Bounds) -> World {
+        let mut world = self.clone();
+        let mut ended = self.holder.as_ref().and_then(|own| world.deputy.end(own));
+        if bounds.ends_armed {
+            ended = self.holder.as_ref().and_then(|own| own.held);
+        }
+        if let Some(step) = ended {
+            world.orders.insert((HOLDER, Key::Release(step)));
+        }
+        world
+    }
+
     fn begin_pass(&self) -> Option<World> {
         let pass = self.step + 1;
         let is_held = self.engines.iter().any(|engine| engine.held == Some(pass));
@@ -181,7 +220,6 @@
                 step: *step,
             },
             sidecars: Vec::new(),
-            holder: ([127, 0, 0, 1], 1).into(),
         };
         self.deputy.pledge(pledge, Duration::ZERO);
     }
@@ -194,8 +232,11 @@
             return world;
         }
         let seen: Vec<&Sight> = sights.iter().collect();
+        if world.floor == 0 {
+            world.floor = seen.iter().map(|sight| sight.step).max().unwrap_or(0) + AHEAD;
+        }
         if world.change.is_none() {
-            world.change = Change::found(&seen, HOLDER);
+            world.change = Change::found(&seen, HOLDER, world.floor);
         }
         if let (None, Some(step)) = (&world.change, stray(&seen, HOLDER)) {
             world.orders.insert((HOLDER, Key::Release(step)));
@@ -206,7 +247,7 @@
             .all(|sight| sight.armed.is_none() && sight.held.is_none());
         if world.change.is_none() && is_calm && world.begun < bounds.changes {
             world.begun += 1;
-            world.change = Some(Change::new(1, world.begun));
+            world.change = Some(Change::new(1, world.begun, world.floor));
         }
         let Some(change) = &mut world.change else {
             return world;
@@ -232,7 +273,7 @@
     fn plant(&mut self) {
         let holds = self.orders.iter().filter_map(|(_, key)| match key {
             Key::Hold(step) => Some(*step),
-            Key::Prepare(_) | Key::Arm(..) | Key::Release(_) => None,
+            Key::Prepare(_) | Key::Arm(..) | Key::ArmPassed(..) | Key::Release(_) => None,
         });
         let arms: Vec<Key> = holds.map(|step| Key::Arm(self.begun, step)).collect();
         let ranks = Rank::try_from(self.engines.len()).expect("few ranks");
@@ -251,7 +292,7 @@
         for _ in 0..64 {
             let orders: Vec<_> = std::mem::take(&mut self.orders).into_iter().collect();
             for (rank, key) in orders {
-                self.engines[usize::from(rank)].order(key.order(), self.step);
+                self.carry_out(rank, key, bounds);
             }
             for rank in 0..bounds.ranks {
                 self = self.look(rank, bounds);
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -11,7 +11,7 @@
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::Coordinator;
 use auburnline_lockstep::change::Order;
-use auburnline_lockstep::coordinator::HOLDER;
+use auburnline_lockstep::coordinator::LEADER;
 use auburnline_lockstep::cost::Cost;
 use auburnline_lockstep::deputy::Pledge;
 use auburnline_lockstep::layout::Shape;
@@ -77,7 +77,7 @@
     }
 
     /// Returns the pledge of the hold that is among `sends`, if one is.
-    pub(crate) fn pledge(&self, sends: &[Send], holder: SocketAddr) -> Option<Pledge> {
+    pub(crate) fn pledge(&self, sends: &[Send], own: SocketAddr) -> Option<Pledge> {
         let hold = sends.iter().find_map(|send| match send.order {
             Order::Hold(step) => Some((send.epoch, step)),
             Order::Prepare(_) | Order::Arm(_) | Order::Release(_) => None,
@@ -92,8 +92,8 @@
                 .addresses
                 .iter()
                 .map(|(rank, address)| (*rank, *address))
+                .chain([(LEADER, own)])
                 .collect(),
-            holder,
         })
     }
 
@@ -112,7 +112,7 @@
         self.digested_at = now;
         self.was_open = is_open;
         let requests = self.coordinator.requests();
-        let own = [(HOLDER, own)];
+        let own = [(LEADER, own)];
         let sidecars = self
             .addresses
             .iter()
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -11,7 +11,7 @@
 use auburnline_core::time::Monotonic;
 use auburnline_duty::clock::Clock;
 use auburnline_lockstep::change::Order;
-use auburnline_lockstep::coordinator::HOLDER;
+use auburnline_lockstep::coordinator::LEADER;
 use auburnline_lockstep::deputy::Deputy;
 use auburnline_lockstep::layout::Layout;
 use auburnline_lockstep::message::Members;
@@ -171,7 +171,7 @@
             choices,
             held,
         };
-        if show.sight.rank == HOLDER {
+        if show.sight.rank == LEADER {
             self.lead(show).await;
         } else {
             self.lead = None;
@@ -282,8 +282,11 @@
             Message::Command(command) => self.follow(command, from).await,
             Message::Pledge(pledge) => {
                 if self.group.as_ref() == Some(&pledge.group) {
-                    self.deputy.pledge(pledge, now);
+                    let is_known = self.deputy.pledge(pledge, now);
                     self.quick_until = self.quick_until.max(now + QUICK_PLEDGE);
+                    if is_known {
+                        self.look().await;
+                    }
                 }
             }
         }
--- a/crates/sidecar/src/sidecar/following.rs
+++ b/crates/sidecar/src/sidecar/following.rs
@@ -7,7 +7,6 @@
 use auburnline_core::id::Step;
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::change::Order;
-use auburnline_lockstep::coordinator::HOLDER;
 use auburnline_lockstep::layout::Layout;
 use auburnline_lockstep::layout::Parcel;
 use auburnline_lockstep::message::Command;
@@ -72,30 +71,28 @@
         self.tell(&Message::Show(show), address).await;
     }
 
-    /// As the deputy, takes a change forward whose lead fell silent while its group is held.
+    /// As the deputy, ends a hold whose lead fell silent, or takes the change forward if ranks may be armed.
     async fn see_through(&mut self, own: &Sight, now: Monotonic) {
         self.deputy.see(own);
         let Some(pledge) = self.deputy.due(own, now).cloned() else {
             return;
         };
         self.quick_until = now + QUICK_PLEDGE;
-        let holder = self.engine.at(pledge.holder);
-        let sight = match holder.report().await {
-            Ok(report) => report.sight,
-            Err(failure) => {
-                let cause = failure.to_string();
-                log::warn!(target: "experts", group = pledge.group.as_str(), cause = cause.as_str(); "holder not seen");
-                return;
-            }
-        };
-        let orders = self.deputy.orders(&sight);
-        let (epoch, step) = (pledge.epoch, pledge.switch.step);
-        log::info!(target: "experts", group = pledge.group.as_str(), epoch, step, orders = orders.len(); "standing in");
+        let group = pledge.group.as_str();
+        let epoch = pledge.epoch;
+        if let Some(step) = self.deputy.end(own) {
+            log::info!(target: "experts", group, epoch, step; "hold ended, its lead is silent");
+            give(&self.engine, epoch, Order::Release(step), None).await;
+            return;
+        }
+        let orders = self.deputy.orders(own);
+        if !orders.is_empty() {
+            let step = pledge.switch.step;
+            log::info!(target: "experts", group, epoch, step, orders = orders.len(); "standing in");
+        }
         for (rank, order) in orders {
             if rank == own.rank {
                 give(&self.engine, epoch, order, None).await;
-            } else if rank == HOLDER {
-                give(&holder, epoch, order, None).await;
             } else if let Some((_, address)) = pledge.sidecars.iter().find(|(of, _)| *of == rank) {
                 let command = Command {
                     group: pledge.group.clone(),
@@ -130,6 +127,20 @@
         if !is_ours || self.epoch != Some(command.epoch) {
             return;
         }
+        if let Order::Arm(switch) = command.order
+            && !self.deputy.may_arm(command.epoch, switch)
+        {
+            log::info!(target: "experts", group = command.group.as_str(), epoch = command.epoch, step = switch.step; "not armed, the hold was ended");
+            // The order that ended it may have been lost, and the lead that lives again waits for this rank.
+            give(
+                &self.engine,
+                command.epoch,
+                Order::Release(switch.step),
+                None,
+            )
+            .await;
+            return;
+        }
         let layout = match self.unpack(command.order, command.layout) {
             Ok(layout) => layout,
             Err(base) => {
--- a/crates/sidecar/src/sidecar/leading.rs
+++ b/crates/sidecar/src/sidecar/leading.rs
@@ -6,8 +6,10 @@
 
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::neighbour::Datagram;
-use auburnline_lockstep::coordinator::HOLDER;
+use auburnline_lockstep::change::Order;
+use auburnline_lockstep::coordinator::LEADER;
 use auburnline_lockstep::deputy::DEPUTY;
+use auburnline_lockstep::deputy::Pledge;
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Command;
 use auburnline_lockstep::message::Digest;
@@ -118,23 +120,49 @@
             return;
         };
         let sends = lead.tick(now);
-        if let Some(pledge) = lead.pledge(&sends, self.settings.engine)
-            && let Some(deputy) = lead.address(DEPUTY)
-        {
-            self.tell(&Message::Pledge(pledge), deputy).await;
-        }
+        let pledge = lead.pledge(&sends, self.settings.peers);
+        let pledge = pledge.zip(lead.address(DEPUTY));
+        self.tell_deputy(pledge.as_ref()).await;
         // Others first: an answer of the own engine that is lost would hold their orders up.
         let (own, others): (Vec<_>, Vec<_>) =
-            sends.into_iter().partition(|send| send.rank == HOLDER);
+            sends.into_iter().partition(|send| send.rank == LEADER);
         for send in others {
             self.hasten(send.order);
-            self.pass_on(send).await;
+            match send.order {
+                Order::Hold(_) | Order::Release(_) => self.reach(send).await,
+                Order::Prepare(_) | Order::Arm(_) => self.pass_on(send).await,
+            }
         }
         for send in own {
             self.hasten(send.order);
             let layout = send.layout.as_deref();
             give(&self.engine, send.epoch, send.order, layout).await;
         }
+        // Once more: the rank that holds is looked at at once, and the word may have been lost.
+        self.tell_deputy(pledge.as_ref()).await;
+    }
+
+    async fn tell_deputy(&self, pledge: Option<&(Pledge, SocketAddr)>) {
+        if let Some((pledge, deputy)) = pledge {
+            self.tell(&Message::Pledge(pledge.clone()), *deputy).await;
+        }
+    }
+
+    /// Gives an order to another rank's engine without its sidecar: if the instance that gave a hold freezes, the one
+    /// beside which the group is held lives on.
+    async fn reach(&self, send: Send) {
+        let instance = self.lead.as_ref().and_then(|lead| lead.address(send.rank));
+        let members = self.members.as_ref();
+        let engine = instance.zip(members).and_then(|(instance, members)| {
+            let mut engines = members.upstreams.iter();
+            engines.find(|engine| engine.ip() == instance.ip())
+        });
+        let Some(engine) = engine else {
+            log::warn!(target: "experts", rank = send.rank, order:? = send.order; "engine not known");
+            return;
+        };
+        let engine = self.engine.at(*engine);
+        give(&engine, send.epoch, send.order, None).await;
     }
 
     async fn pass_on(&self, send: Send) {
