Give slow ranks fewer choices, and count requests at them for as long as they take

Change: a rank's pace is read from its report; a plan treats the part that it should not get as a load that it has, and leads tell gateways its requests by the time they take. The pulse line tells the slowest.

--- a/crates/lockstep/src/coordinator.rs
+++ b/crates/lockstep/src/coordinator.rs
@@ -158,14 +158,23 @@
         self.change.as_ref().map(Change::version)
     }
 
-    /// Returns the requests that run or wait at each rank.
+    /// Returns the requests that run or wait at each rank; one at a slow rank counts for as much as it takes longer.
     #[must_use]
     pub fn requests(&self) -> BTreeMap<Rank, u32> {
         let sights = self.members.values().map(|member| &member.sight);
-        let requests = sights.map(|sight| (sight.rank, sight.running + sight.waiting));
+        let requests = sights.map(|sight| {
+            let requests = f64::from(sight.running + sight.waiting) * sight.slowness();
+            (sight.rank, whole(requests))
+        });
         requests.collect()
     }
 
+    /// Returns how many times longer each rank takes than it should.
+    fn slowness(&self) -> Vec<f64> {
+        let sights = self.members.values().map(|member| &member.sight);
+        sights.map(Sight::slowness).collect()
+    }
+
     fn requests_per_rank(&self) -> f64 {
         let sights = self.members.values().map(|member| &member.sight);
         let requests: u32 = sights.map(|sight| sight.running + sight.waiting).sum();
@@ -187,6 +196,7 @@
             waiting: sights().map(|sight| sight.waiting).sum(),
             most_running: sights().map(|sight| sight.running).max().unwrap_or(0),
             skew,
+            slowest: slowest(&self.slowness()),
             version: known.map(|known| known.version),
         }
     }
@@ -371,15 +381,24 @@
         let known = self.in_force.as_ref()?;
         let shares = self.popularity.shares()?;
         self.planned_at = now;
+        let slowness = self.slowness();
         let requests = self.requests_per_rank();
-        if self.cost.is_short(requests, known.layout.skew(&shares)) {
+        let skew = known.layout.skew(&shares);
+        if self.cost.is_short(requests * slowest(&slowness), skew) {
             return None;
         }
         let work = self.cost.expert_work(requests);
         loop {
             let stage = self.stage;
             self.stage = stage.next();
-            let found = plan(&known.layout, &shares, &self.shape, stage.scope(), work);
+            let found = plan(
+                &known.layout,
+                &shares,
+                &self.shape,
+                stage.scope(),
+                work,
+                &slowness,
+            );
             if found.is_some() || stage == Stage::Steady {
                 return found;
             }
@@ -488,3 +507,16 @@
         }
     }
 }
+
+fn slowest(slowness: &[f64]) -> f64 {
+    slowness.iter().copied().fold(1.0, f64::max)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "some hundred requests at most, rounded up"
+)]
+fn whole(requests: f64) -> u32 {
+    requests.ceil() as u32
+}
--- a/crates/lockstep/src/plan.rs
+++ b/crates/lockstep/src/plan.rs
@@ -21,6 +21,9 @@
 use crate::layout::Shape;
 use crate::real;
 
+/// Most loaded rank over the mean that plans come down to on the users' deployments.
+const AIMED_SKEW: f64 = 1.3;
+
 /// How much one change may do, and what it has to bring.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Scope {
@@ -89,16 +92,25 @@
 }
 
 impl Draft {
-    fn new(held: &[Vec<Expert>], shares: &[f64], shape: &Shape, searched: usize) -> Draft {
+    fn new(
+        held: &[Vec<Expert>],
+        shares: &[f64],
+        shape: &Shape,
+        searched: usize,
+        slowness: &[f64],
+    ) -> Draft {
         let start = padded(held, shares, shape.places);
         let ranks = held.len();
-        let path = search::improve(&start, ranks, Outlook::steady(shares), searched);
         let sum: f64 = shares.iter().sum();
+        let mean = sum / real(ranks.max(1));
+        let burdens: Vec<f64> = slowness.iter().map(|times| burden(*times, mean)).collect();
+        let outlook = Outlook::steady(shares).burdened(&burdens);
+        let path = search::improve(&start, ranks, outlook, searched);
         Draft {
             start,
             path,
             taken: 0,
-            mean: sum / real(ranks.max(1)),
+            mean,
         }
     }
 
@@ -127,7 +139,7 @@
 }
 
 /// Returns the layout that is worth a change from `before` under `shares`, where the experts' part of a pass
-/// would be `work` if it lay evenly on all ranks.
+/// would be `work` if it lay evenly on all ranks, and each rank takes `slowness` times as long for its own.
 #[must_use]
 pub fn plan(
     before: &Layout,
@@ -135,6 +147,7 @@
     shape: &Shape,
     scope: &Scope,
     work: Duration,
+    slowness: &[f64],
 ) -> Option<Plan> {
     let skew_of = |time: Duration| time.as_secs_f64() / work.as_secs_f64().max(f64::EPSILON);
     let least_step = skew_of(scope.least_step);
@@ -143,7 +156,7 @@
         .0
         .iter()
         .zip(shares)
-        .map(|(held, shares)| Draft::new(held, shares, shape, scope.searched))
+        .map(|(held, shares)| Draft::new(held, shares, shape, scope.searched, slowness))
         .collect();
     let skew_before = skew(&drafts);
     let mut layout = before.clone();
@@ -169,6 +182,11 @@
     })
 }
 
+/// Returns the load that stands for a rank's slowness: one that takes twice as long may hold half of what is aimed at.
+fn burden(slowness: f64, mean: f64) -> f64 {
+    (1.0 - 1.0 / slowness.max(1.0)) * mean * AIMED_SKEW
+}
+
 fn skew(drafts: &[Draft]) -> f64 {
     let sum: f64 = drafts.iter().map(|draft| draft.skew(draft.taken)).sum();
     sum / real(drafts.len().max(1))
--- a/crates/lockstep/src/sight.rs
+++ b/crates/lockstep/src/sight.rs
@@ -5,6 +5,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Pace of a rank that is not slow, in hundredths.
+pub const USUAL_PACE: u16 = 100;
+
 /// Number of a map; it only grows within an epoch.
 pub type Version = u64;
 /// Number of a group's forming; all orders and maps of an earlier one are void.
@@ -46,4 +49,14 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// Times that its part of a pass takes longer than it should, in hundredths; 100 if it is not slow.
+    pub pace: u16,
+}
+
+impl Sight {
+    /// Returns the times that the rank's part of a pass takes longer than it should.
+    #[must_use]
+    pub fn slowness(&self) -> f64 {
+        f64::from(self.pace.max(USUAL_PACE)) / f64::from(USUAL_PACE)
+    }
 }
--- a/crates/lockstep/src/told.rs
+++ b/crates/lockstep/src/told.rs
@@ -87,6 +87,8 @@
     pub most_running: u32,
     /// Most loaded rank over the mean under the popularity of now; none if it is not known.
     pub skew: Option<f64>,
+    /// Times that the slowest rank's part of a pass takes longer than it should.
+    pub slowest: f64,
     /// Map in force; none if ranks differ or it is not known.
     pub version: Option<Version>,
 }
--- a/crates/lockstep/tests/all/plan.rs
+++ b/crates/lockstep/tests/all/plan.rs
@@ -44,7 +44,7 @@
 /// on one rank (measured: 3.15 times the mean on the most loaded one).
 #[gtest]
 fn hot_experts_get_copies_until_the_most_loaded_rank_is_near_the_mean() {
-    let plan = plan(&initial(), &shares(), &SHAPE, &Scope::STEADY, WORK).expect("a plan");
+    let plan = plan(&initial(), &shares(), &SHAPE, &Scope::STEADY, WORK, &[]).expect("a plan");
     assert_that!(plan.skew_before, gt(3.0));
     assert_that!(plan.skew_after, lt(1.5));
     assert_that!(plan.layout.skew(&shares()), near(plan.skew_after, 1e-9));
@@ -53,7 +53,7 @@
 #[gtest]
 fn a_plan_keeps_to_places_new_experts_and_all_experts() {
     let before = initial();
-    let plan = plan(&before, &shares(), &SHAPE, &Scope::STEADY, WORK).expect("a plan");
+    let plan = plan(&before, &shares(), &SHAPE, &Scope::STEADY, WORK, &[]).expect("a plan");
     for (layer, old) in plan.layout.0.iter().zip(&before.0) {
         let mut found = vec![false; SHAPE.experts];
         for (held, had) in layer.iter().zip(old) {
@@ -72,7 +72,7 @@
 fn even_demand_moves_nothing() {
     let even = vec![vec![1.0 / 96.0; 96]; 3];
     assert_that!(
-        plan(&initial(), &even, &SHAPE, &Scope::STEADY, WORK),
+        plan(&initial(), &even, &SHAPE, &Scope::STEADY, WORK, &[]),
         none()
     );
 }
@@ -82,13 +82,13 @@
     let mut layout = initial();
     // A change copies for a bounded time only; the next goes on where it ended.
     for _ in 0..8 {
-        let Some(plan) = plan(&layout, &shares(), &SHAPE, &Scope::STEADY, WORK) else {
+        let Some(plan) = plan(&layout, &shares(), &SHAPE, &Scope::STEADY, WORK, &[]) else {
             return;
         };
         layout = plan.layout;
     }
     assert_that!(
-        plan(&layout, &shares(), &SHAPE, &Scope::STEADY, WORK),
+        plan(&layout, &shares(), &SHAPE, &Scope::STEADY, WORK, &[]),
         none()
     );
 }
@@ -97,7 +97,7 @@
 #[gtest]
 fn no_rank_copies_for_long() {
     let before = initial();
-    let plan = plan(&before, &shares(), &SHAPE, &Scope::STEADY, WORK).expect("a plan");
+    let plan = plan(&before, &shares(), &SHAPE, &Scope::STEADY, WORK, &[]).expect("a plan");
     let copies = plan.layout.new_by_rank(&before).into_iter().max();
     let copies = u32::try_from(copies.unwrap_or(0)).expect("a small number");
     assert_that!(SHAPE.copy * copies, le(Duration::from_millis(450)));
@@ -131,14 +131,14 @@
 #[gtest]
 fn relief_after_a_shift_copies_for_a_moment_and_the_rest_goes_on_from_there() {
     let initial = Layout::initial(&LARGE, 24);
-    let fitted = plan(&initial, &liked(0), &LARGE, &Scope::REST, WORK).expect("a plan");
+    let fitted = plan(&initial, &liked(0), &LARGE, &Scope::REST, WORK, &[]).expect("a plan");
     let shifted = liked(40);
-    let relief = plan(&fitted.layout, &shifted, &LARGE, &Scope::RELIEF, WORK).expect("relief");
+    let relief = plan(&fitted.layout, &shifted, &LARGE, &Scope::RELIEF, WORK, &[]).expect("relief");
     assert_that!(
         most_copied(&relief.layout, &fitted.layout),
         le(Duration::from_millis(100))
     );
-    let rest = plan(&relief.layout, &shifted, &LARGE, &Scope::REST, WORK).expect("the rest");
+    let rest = plan(&relief.layout, &shifted, &LARGE, &Scope::REST, WORK, &[]).expect("the rest");
     let all = relief.skew_before - rest.skew_after;
     assert_that!(relief.skew_before - relief.skew_after, gt(all / 2.0));
     assert_that!(
@@ -151,7 +151,7 @@
 #[gtest]
 fn relief_copies_one_expert_where_copying_is_slow() {
     let before = initial();
-    let relief = plan(&before, &shares(), &SHAPE, &Scope::RELIEF, WORK).expect("relief");
+    let relief = plan(&before, &shares(), &SHAPE, &Scope::RELIEF, WORK, &[]).expect("relief");
     assert_that!(relief.copies, eq(1));
 }
 
@@ -161,7 +161,7 @@
     let initial = Layout::initial(&LARGE, 24);
     let copied = |work: u64| {
         let work = Duration::from_millis(work);
-        let plan = plan(&initial, &liked(0), &LARGE, &Scope::REST, work);
+        let plan = plan(&initial, &liked(0), &LARGE, &Scope::REST, work, &[]);
         plan.map_or(0, |plan| {
             plan.layout.new_by_rank(&initial).iter().sum::<usize>()
         })
@@ -173,6 +173,40 @@
         &LARGE,
         &Scope::REST,
         Duration::from_micros(500),
+        &[],
     );
     assert_that!(idle, none());
 }
+
+/// Pattern: one rank takes 1.6 times as long as it should for some seconds; all ranks wait for it in each pass.
+#[gtest]
+fn a_slow_rank_is_given_less() {
+    let initial = Layout::initial(&LARGE, 24);
+    let shares = liked(0);
+    let even = plan(&initial, &shares, &LARGE, &Scope::REST, WORK, &[]).expect("a plan");
+    let mut slowness = vec![1.0; 24];
+    slowness[5] = 2.0;
+    let plan = plan(
+        &even.layout,
+        &shares,
+        &LARGE,
+        &Scope::STEADY,
+        WORK,
+        &slowness,
+    );
+    let load = |layout: &Layout| {
+        let loads = layout.0.iter().zip(&shares).map(|(layer, shares)| {
+            let mut copies = vec![0.0; shares.len()];
+            for expert in layer.iter().flatten() {
+                copies[usize::from(*expert)] += 1.0;
+            }
+            let held = layer[5].iter().map(|expert| usize::from(*expert));
+            held.map(|expert| shares[expert] / copies[expert])
+                .sum::<f64>()
+        });
+        loads.sum::<f64>() / 16.0 * 24.0
+    };
+    assert_that!(load(&even.layout), gt(0.8));
+    let relieved = plan.expect("a plan that relieves the slow rank");
+    assert_that!(load(&relieved.layout), lt(0.8 * load(&even.layout)));
+}
--- a/crates/lockstep/tests/all/support.rs
+++ b/crates/lockstep/tests/all/support.rs
@@ -5,6 +5,7 @@
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::sight::Sight;
 use auburnline_lockstep::sight::Switch;
+use auburnline_lockstep::sight::USUAL_PACE;
 use auburnline_lockstep::sight::Version;
 
 /// One rank; orders that don't fit its state are refused without effect.
@@ -54,6 +55,7 @@
             held: self.held,
             running: 1,
             waiting: 0,
+            pace: USUAL_PACE,
         }
     }
 }
--- a/crates/rebalance/src/plan.rs
+++ b/crates/rebalance/src/plan.rs
@@ -85,6 +85,7 @@
         let outlook = Outlook {
             now: &shares.mean,
             later: &shares.later,
+            burdens: &[],
         };
         let path = search::improve(layer, ranks, outlook, config.max_changes);
         let count = best_prefix(&path, floor, config, prices);
--- a/crates/rebalance/src/search.rs
+++ b/crates/rebalance/src/search.rs
@@ -122,7 +122,7 @@
         }
         let part = |(expert, hosts): (usize, &Vec<usize>)| outlook.at(expert).over(hosts.len());
         let parts: Vec<Load> = hosts.iter().enumerate().map(part).collect();
-        let mut loads = vec![Load::default(); ranks];
+        let mut loads: Vec<Load> = (0..ranks).map(|rank| outlook.burden(rank)).collect();
         for (place, &expert) in layer.0.iter().enumerate() {
             let load = &mut loads[place / places];
             *load = load.plus(parts[usize::from(expert)]);
--- a/crates/rebalance/src/search/load.rs
+++ b/crates/rebalance/src/search/load.rs
@@ -9,6 +9,8 @@
     pub now: &'a [f64],
     /// Shares expected later.
     pub later: &'a [f64],
+    /// Load that each rank has besides, as a slow one has; none where it is empty.
+    pub burdens: &'a [f64],
 }
 
 impl<'a> Outlook<'a> {
@@ -18,6 +20,21 @@
         Outlook {
             now: shares,
             later: shares,
+            burdens: &[],
+        }
+    }
+
+    /// Expects that ranks have a load besides their experts.
+    #[must_use]
+    pub const fn burdened(self, burdens: &'a [f64]) -> Self {
+        Outlook { burdens, ..self }
+    }
+
+    pub(super) fn burden(&self, rank: usize) -> Load {
+        let burden = self.burdens.get(rank).copied().unwrap_or(0.0);
+        Load {
+            now: burden,
+            later: burden,
         }
     }
 
--- a/crates/rebalance/tests/search.rs
+++ b/crates/rebalance/tests/search.rs
@@ -31,6 +31,7 @@
     let outlook = Outlook {
         now: &now,
         later: &later,
+        burdens: &[],
     };
     let path = search::improve(&layer, RANKS, outlook, 4);
     expect_that!(path.changes, not(is_empty()));
@@ -46,6 +47,7 @@
         let outlook = Outlook {
             now: &now,
             later: &later,
+            burdens: &[],
         };
         let path = search::improve(&start, RANKS, outlook, 12);
         for (count, point) in path.points.iter().enumerate() {
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -167,6 +167,7 @@
             waiting = pulse.waiting,
             most_running = pulse.most_running,
             skew:? = pulse.skew,
+            slowest = pulse.slowest,
             version:? = pulse.version;
             "pulse"
         );
