Ignore a late word of an earlier epoch at the deputy, and end no hold of a rank that is armed

Found on reading: a pledge of an earlier epoch that comes late reset which holds were ended, and a deputy that was killed after it passed an order to arm on could end the hold of its rank. Both need a lead that freezes besides; neither was seen. The two tests in deputy.rs fail without the change (the first by the pass that may be armed again, the second by a hold that is ended).

--- a/crates/lockstep/src/deputy.rs
+++ b/crates/lockstep/src/deputy.rs
@@ -62,20 +62,24 @@
 }
 
 impl Deputy {
-    /// Takes the pledge of a hold; returns whether it was known.
+    /// Takes the pledge of a hold; returns whether it was known. One of an earlier epoch, come late, says nothing.
     pub fn pledge(&mut self, pledge: Pledge, now: Monotonic) -> bool {
+        self.enter(pledge.epoch);
+        if pledge.epoch < self.epoch {
+            return false;
+        }
         let is_known = self.pledge.as_ref() == Some(&pledge);
         if !is_known {
             self.armed.clear();
         }
-        self.enter(pledge.epoch);
         self.pledge = Some(pledge);
         self.heard = now;
         is_known
     }
 
+    /// Begins an epoch anew: all that was passed on or ended before is void in it.
     fn enter(&mut self, epoch: Epoch) {
-        if self.epoch != epoch {
+        if epoch > self.epoch {
             self.epoch = epoch;
             self.passed = 0;
             self.ended = 0;
@@ -85,7 +89,7 @@
     /// Returns whether an order to arm the own rank may be passed on to its engine, and takes that it is.
     pub fn may_arm(&mut self, epoch: Epoch, switch: Switch) -> bool {
         self.enter(epoch);
-        let may_arm = switch.step > self.ended;
+        let may_arm = epoch == self.epoch && switch.step > self.ended;
         if may_arm {
             self.passed = self.passed.max(switch.step);
         }
@@ -97,7 +101,9 @@
         let pledge = self.pledge.as_ref()?;
         let step = pledge.switch.step;
         let is_held = own.epoch == pledge.epoch && own.held == Some(step);
-        if !is_held || self.passed >= step {
+        // An order that was passed on before this process started may have armed the rank.
+        let is_armed = own.armed.is_some();
+        if !is_held || is_armed || self.passed >= step {
             return None;
         }
         self.ended = self.ended.max(step);
@@ -145,7 +151,8 @@
         if holder.epoch != pledge.epoch || holder.held != Some(switch.step) {
             return Vec::new();
         }
-        if self.passed < switch.step {
+        let is_armed = holder.armed == Some(switch);
+        if self.passed < switch.step && !is_armed {
             return Vec::new();
         }
         let unarmed = (0..holder.size).filter(|rank| !self.armed.contains(rank));
--- a/crates/lockstep/tests/all/deputy.rs
+++ b/crates/lockstep/tests/all/deputy.rs
@@ -102,6 +102,35 @@
     assert_that!(deputy.may_arm(2, SWITCH), eq(true));
 }
 
+/// Pattern: the same, and the word of an earlier epoch comes late.
+#[gtest]
+fn a_late_word_of_an_earlier_epoch_does_not_bring_an_ended_hold_back() {
+    let anew = Pledge {
+        epoch: 2,
+        ..pledge()
+    };
+    let mut deputy = Deputy::default();
+    deputy.pledge(anew, Monotonic::ZERO);
+    let mut own = sight(1, 11);
+    own.epoch = 2;
+    own.held = Some(SWITCH.step);
+    assert_that!(deputy.end(&own), some(eq(SWITCH.step)));
+    assert_that!(deputy.pledge(pledge(), millis(10)), eq(false));
+    assert_that!(deputy.may_arm(1, SWITCH), eq(false));
+    assert_that!(deputy.may_arm(2, SWITCH), eq(false));
+}
+
+/// Pattern: the deputy's process was killed after it passed an order to arm on, and starts again.
+#[gtest]
+fn a_hold_is_not_ended_while_the_own_rank_is_armed() {
+    let mut deputy = pledged();
+    let mut own = sight(1, 11);
+    own.held = Some(SWITCH.step);
+    own.armed = Some(SWITCH);
+    assert_that!(deputy.end(&own), none());
+    assert_that!(deputy.orders(&own), eq(&vec![(0, Order::Arm(SWITCH))]));
+}
+
 #[gtest]
 fn nobody_is_armed_without_the_hold_and_nothing_released_before_all_are_armed() {
     let mut deputy = pledged();
