--- a/crates/lockstep/src/plan.rs
+++ b/crates/lockstep/src/plan.rs
@@ -21,7 +21,7 @@
 use crate::layout::Shape;
 use crate::real;
 
-/// Most loaded rank over the mean that plans come down to on the users' deployments.
+/// Most loaded rank over the mean that plans come down to: 1.3 to 1.4 in the lines of leads on the users' larger days.
 const AIMED_SKEW: f64 = 1.3;
 
 /// How much one change may do, and what it has to bring.
