--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -23,6 +23,7 @@
 const FACTORS: (f64, f64) = (0.8, 6.0);
 /// Time in which the factor follows what is seen by two thirds: about ten passes.
 const FACTOR_TIME: Duration = Duration::from_millis(800);
+const RISE_TIME: Duration = Duration::from_millis(100);
 /// Pauses beyond this many longest pauses are stalls of a broken rank and tell nothing of load.
 const STALL_PAUSES: f64 = 4.0;
 /// Fewest requests on a rank, so that a wrong factor never shuts a group.
@@ -60,6 +61,7 @@
 #[derive(Clone, Debug)]
 pub struct Group {
     factor: f64,
+    recent: f64,
     seen_at: Option<Monotonic>,
     mean_pass: f64,
 }
@@ -68,6 +70,7 @@
     fn default() -> Group {
         Group {
             factor: FIRST_FACTOR,
+            recent: FIRST_FACTOR,
             seen_at: None,
             mean_pass: 0.0,
         }
@@ -96,6 +99,8 @@
         let slope = slope(engine, load.ranks) * f64::from(load.in_flight);
         let seen = ((pause - base(engine)) / slope).clamp(FACTORS.0, FACTORS.1);
         self.factor += (seen - self.factor) * weight;
+        let rise = 1.0 - (-passed.as_secs_f64() / RISE_TIME.as_secs_f64()).exp();
+        self.recent += (seen - self.recent) * rise;
         self.mean_pass += (pause - self.mean_pass) * weight;
     }
 
@@ -108,7 +113,8 @@
     /// Predicts the pass with one request more.
     #[must_use]
     pub fn predict(&self, engine: &Engine, longest: Duration, load: Load) -> Prediction {
-        let slope = slope(engine, load.ranks) * self.factor;
+        let factor = self.factor.max(self.recent);
+        let slope = slope(engine, load.ranks) * factor;
         let room = longest.as_secs_f64() * TARGET_PART - base(engine);
         let ranks = f64::from(load.ranks.max(1));
         let places = ranks * f64::from(engine.slots);
@@ -117,7 +123,7 @@
         Prediction {
             most,
             pass: Duration::from_secs_f64(pass),
-            factor: self.factor,
+            factor,
         }
     }
 }
