Trial: groups are filled for the passes after a shift once half of their streams are late

Hypothesis: where shifts come each 2.5 s nearly every stream (1.6 to 2 s long) meets one, and passes exceed the longest pause by 3 to 13% in the first three passes, before any change can be in force. Filling so that those passes fit serves more in time; where few streams are late it costs more than it brings.

--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -24,6 +24,15 @@
 /// Time in which the factor follows what is seen by two thirds: about ten passes.
 const FACTOR_TIME: Duration = Duration::from_millis(800);
 const RISE_TIME: Duration = Duration::from_millis(100);
+/// Part of the longest pause that passes may take after a shift of demand like those of late.
+const SHIFTED_PART: f64 = 0.95;
+/// Time in which what was learned of shifts fades to a third.
+const PEAK_TIME: Duration = Duration::from_secs(20);
+/// Part of streams with a pass over the longest pause from which on a group is filled for shifts, and the part below which
+/// it no longer is.
+const LATE_PARTS: (f64, f64) = (0.5, 0.25);
+/// Time in which the part of late streams follows what is seen by two thirds: two or three shifts.
+const LATE_TIME: Duration = Duration::from_secs(8);
 /// Pauses beyond this many longest pauses are stalls of a broken rank and tell nothing of load.
 const STALL_PAUSES: f64 = 4.0;
 /// Fewest requests on a rank, so that a wrong factor never shuts a group.
@@ -62,6 +71,10 @@
 pub struct Group {
     factor: f64,
     recent: f64,
+    peak: f64,
+    long_at: Option<Monotonic>,
+    late: f64,
+    is_cautious: bool,
     seen_at: Option<Monotonic>,
     mean_pass: f64,
 }
@@ -71,6 +84,10 @@
         Group {
             factor: FIRST_FACTOR,
             recent: FIRST_FACTOR,
+            peak: 0.0,
+            long_at: None,
+            late: 0.0,
+            is_cautious: false,
             seen_at: None,
             mean_pass: 0.0,
         }
@@ -101,7 +118,17 @@
         self.factor += (seen - self.factor) * weight;
         let rise = 1.0 - (-passed.as_secs_f64() / RISE_TIME.as_secs_f64()).exp();
         self.recent += (seen - self.recent) * rise;
+        self.peak *= (-passed.as_secs_f64() / PEAK_TIME.as_secs_f64()).exp();
+        self.peak = self.peak.max(self.recent);
         self.mean_pass += (pause - self.mean_pass) * weight;
+        if pause > longest.as_secs_f64() {
+            self.long_at = Some(now);
+        }
+        let stream = self.mean_pass() .mul_f64(engine.passes());
+        let is_late = self.long_at.is_some_and(|at| now.saturating_sub(at) < stream);
+        let weight = 1.0 - (-passed.as_secs_f64() / LATE_TIME.as_secs_f64()).exp();
+        self.late += (f64::from(u8::from(is_late)) - self.late) * weight;
+        self.is_cautious = self.late > if self.is_cautious { LATE_PARTS.1 } else { LATE_PARTS.0 };
     }
 
     /// Returns the mean pass seen of late.
@@ -114,11 +141,13 @@
     #[must_use]
     pub fn predict(&self, engine: &Engine, longest: Duration, load: Load) -> Prediction {
         let factor = self.factor.max(self.recent);
-        let slope = slope(engine, load.ranks) * factor;
+        let slope = self::slope(engine, load.ranks) * factor;
         let room = longest.as_secs_f64() * TARGET_PART - base(engine);
         let ranks = f64::from(load.ranks.max(1));
         let places = ranks * f64::from(engine.slots);
-        let most = (room / slope).clamp(ranks * LEAST_PER_RANK, places);
+        let shifted = longest.as_secs_f64() * SHIFTED_PART - base(engine);
+        let shifted = shifted / (self::slope(engine, load.ranks) * self.peak);
+        let most = (room / slope).min(if self.is_cautious { shifted } else { f64::MAX }).clamp(ranks * LEAST_PER_RANK, places);
         let pass = base(engine) + slope * f64::from(load.in_flight + 1);
         Prediction {
             most,
