--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -30,7 +30,7 @@
 const PEAK_TIME: Duration = Duration::from_secs(20);
 /// Part of streams with a pass over the longest pause from which on a group is filled for shifts, and the part below which
 /// it no longer is.
-const LATE_PARTS: (f64, f64) = (0.5, 0.25);
+const LATE_PARTS: (f64, f64) = (0.4, 0.1);
 /// Time in which the part of late streams follows what is seen by two thirds: two or three shifts.
 const LATE_TIME: Duration = Duration::from_secs(8);
 /// Pauses beyond this many longest pauses are stalls of a broken rank and tell nothing of load.
