--- a/crates/lockstep/tests/all/explore.rs
+++ b/crates/lockstep/tests/all/explore.rs
@@ -82,6 +82,7 @@
         changes,
         kills,
         has_deputy: false,
+        may_hold_next: false,
         arms_unheld: false,
         ends_armed: false,
     }
@@ -109,6 +110,15 @@
     assert_safe(bounds(2, 2, 1));
 }
 
+/// Pattern: a lead that takes the running pass for longer or shorter than it is, and its successor differently.
+#[gtest]
+fn a_hold_of_the_next_pass_does_no_harm_with_one_killed_at_any_point() {
+    assert_safe(Bounds {
+        may_hold_next: true,
+        ..bounds(2, 2, 1)
+    });
+}
+
 #[gtest]
 fn a_deputy_beside_a_coordinator_that_lives_does_no_harm() {
     let beside = Bounds {
--- a/crates/lockstep/tests/all/explore/world.rs
+++ b/crates/lockstep/tests/all/explore/world.rs
@@ -18,7 +18,10 @@
 
 use crate::support::Engine;
 
+/// Passes between the newest one seen and the one to hold, at most.
 const AHEAD: Step = 2;
+/// The same where the running pass leaves time to arm all; a coordinator may think so at any time.
+const AHEAD_IN_TIME: Step = 1;
 /// Passes that are explored.
 const LAST_PASS: Step = 6;
 
@@ -30,6 +33,8 @@
     pub(crate) kills: u8,
     /// Whether a deputy acts at any time beside the coordinator, on what it saw at any time before.
     pub(crate) has_deputy: bool,
+    /// Whether each hold stands one pass ahead or two, by choice.
+    pub(crate) may_hold_next: bool,
     /// Whether the fault is planted that ranks are armed without a hold.
     pub(crate) arms_unheld: bool,
     /// Whether the fault is planted that the deputy ends holds for which ranks may be armed.
@@ -117,7 +122,10 @@
         for rank in 0..bounds.ranks {
             worlds.push(self.look(rank, bounds));
         }
-        worlds.push(self.tick(bounds));
+        worlds.push(self.tick(bounds, AHEAD));
+        if bounds.may_hold_next {
+            worlds.push(self.tick(bounds, AHEAD_IN_TIME));
+        }
         if bounds.has_deputy {
             worlds.extend((0..bounds.ranks).map(|rank| self.deputy_looks(rank, bounds)));
             worlds.push(self.stand_in());
@@ -225,7 +233,7 @@
     }
 
     /// Lets the coordinator decide on what it saw.
-    fn tick(&self, bounds: Bounds) -> World {
+    fn tick(&self, bounds: Bounds, ahead: Step) -> World {
         let mut world = self.clone();
         let sights: Vec<Sight> = self.sights.iter().flatten().cloned().collect();
         if sights.len() < usize::from(bounds.ranks) {
@@ -253,7 +261,7 @@
             return world;
         };
         let version = change.version();
-        match change.advance(&seen, HOLDER, AHEAD) {
+        match change.advance(&seen, HOLDER, ahead) {
             Progress::Orders(orders) => {
                 if bounds.has_deputy {
                     world.pledge(version, &orders);
@@ -297,7 +305,7 @@
             for rank in 0..bounds.ranks {
                 self = self.look(rank, bounds);
             }
-            self = self.tick(bounds);
+            self = self.tick(bounds, AHEAD);
             let pass = self.step + 1;
             if !self.engines.iter().any(|engine| engine.held == Some(pass)) {
                 self.step = pass;
