--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -52,6 +52,8 @@
     pub pass: Duration,
     /// Learned factor.
     pub factor: f64,
+    /// Whether the group is filled for the passes after a shift of demand.
+    pub is_cautious: bool,
 }
 
 impl Prediction {
@@ -143,6 +145,7 @@
             most,
             pass: Duration::from_secs_f64(pass),
             factor,
+            is_cautious: self.caution.factor().is_some(),
         }
     }
 }
