--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -83,6 +83,8 @@
     /// Requests that its ranks run at once.
     slots: f64,
     gateways: usize,
+    /// Whether the group is filled for the passes after a shift of demand.
+    is_cautious: bool,
 }
 
 impl Room {
@@ -123,7 +125,8 @@
             prediction: self.prediction,
             in_flight: self.traffic.load.in_flight,
             own: self.traffic.own,
-            gateways: self.gateways,
+            gateways: u32::try_from(self.gateways).unwrap_or(u32::MAX),
+            is_cautious: self.is_cautious,
             told: self.traffic.told,
             allowance: self.allowance.map(Allowance::requests),
         }
@@ -263,6 +266,7 @@
                 slots: f64::from(traffic.load.ranks) * f64::from(engine.slots),
                 turnover: WORD.as_secs_f64() / prediction.stream(engine).as_secs_f64(),
                 gateways,
+                is_cautious: pace.is_cautious(),
             };
             room.allowance = self.allowance(&room, now);
             rooms.push(room);
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -52,8 +52,6 @@
     pub pass: Duration,
     /// Learned factor.
     pub factor: f64,
-    /// Whether the group is filled for the passes after a shift of demand.
-    pub is_cautious: bool,
 }
 
 impl Prediction {
@@ -126,6 +124,11 @@
         Duration::from_secs_f64(self.mean_pass)
     }
 
+    /// Returns whether the group is filled for the passes after a shift of demand.
+    pub(crate) fn is_cautious(&self) -> bool {
+        self.caution.factor().is_some()
+    }
+
     /// Predicts the pass with one request more.
     #[must_use]
     pub fn predict(&self, engine: &Engine, longest: Duration, load: Load) -> Prediction {
@@ -145,7 +148,6 @@
             most,
             pass: Duration::from_secs_f64(pass),
             factor,
-            is_cautious: self.caution.factor().is_some(),
         }
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -56,7 +56,9 @@
     /// Requests in flight of this gateway.
     pub own: u32,
     /// Gateways that share the group.
-    pub gateways: usize,
+    pub gateways: u32,
+    /// Whether the group is filled for the passes after a shift of demand.
+    pub is_cautious: bool,
     /// Age of the lead's word; none if this gateway's and its neighbours' counts stand in.
     pub told: Option<Duration>,
     /// Requests that this gateway may still send of its share; below zero if it is ahead of it.
--- a/crates/lockstep/tests/all/explore.rs
+++ b/crates/lockstep/tests/all/explore.rs
@@ -19,6 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::explore::world::Bounds;
+use crate::explore::world::Fault;
 use crate::explore::world::World;
 
 /// States after which a search is cut off, unless the environment says another number.
@@ -83,8 +84,7 @@
         kills,
         has_deputy: false,
         may_hold_next: false,
-        arms_unheld: false,
-        ends_armed: false,
+        planted: None,
     }
 }
 
@@ -182,7 +182,7 @@
 fn ending_a_hold_for_which_ranks_may_be_armed_is_caught() {
     let planted = Bounds {
         has_deputy: true,
-        ends_armed: true,
+        planted: Some(Fault::EndsArmed),
         ..bounds(3, 2, 0)
     };
     let caught = (0..400).filter(|seed| dive(planted, *seed).is_mixed());
@@ -192,7 +192,7 @@
 #[gtest]
 fn arming_without_a_hold_is_caught() {
     let planted = Bounds {
-        arms_unheld: true,
+        planted: Some(Fault::ArmsUnheld),
         ..bounds(2, 1, 0)
     };
     assert_that!(explore(planted).mixed, gt(0));
--- a/crates/lockstep/tests/all/explore/world.rs
+++ b/crates/lockstep/tests/all/explore/world.rs
@@ -25,6 +25,15 @@
 /// Passes that are explored.
 const LAST_PASS: Step = 6;
 
+/// A fault that the search has to find.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// Ranks are armed without a hold.
+    ArmsUnheld,
+    /// The deputy ends holds for which ranks may be armed.
+    EndsArmed,
+}
+
 /// What is explored.
 #[derive(Clone, Copy)]
 pub(crate) struct Bounds {
@@ -35,10 +44,8 @@
     pub(crate) has_deputy: bool,
     /// Whether each hold stands one pass ahead or two, by choice.
     pub(crate) may_hold_next: bool,
-    /// Whether the fault is planted that ranks are armed without a hold.
-    pub(crate) arms_unheld: bool,
-    /// Whether the fault is planted that the deputy ends holds for which ranks may be armed.
-    pub(crate) ends_armed: bool,
+    /// Fault that is planted.
+    pub(crate) planted: Option<Fault>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -161,7 +168,7 @@
     fn end_hold(&self, bounds: Bounds) -> World {
         let mut world = self.clone();
         let mut ended = self.holder.as_ref().and_then(|own| world.deputy.end(own));
-        if bounds.ends_armed {
+        if bounds.planted == Some(Fault::EndsArmed) {
             ended = self.holder.as_ref().and_then(|own| own.held);
         }
         if let Some(step) = ended {
@@ -268,7 +275,7 @@
                 }
                 let keys = orders.iter().map(|(rank, order)| (*rank, Key::of(*order)));
                 world.orders.extend(keys);
-                if bounds.arms_unheld {
+                if bounds.planted == Some(Fault::ArmsUnheld) {
                     world.plant();
                 }
             }
--- a/crates/relay/src/tell.rs
+++ b/crates/relay/src/tell.rs
@@ -58,7 +58,7 @@
         most:? = prediction.map(|prediction| prediction.most),
         pass_ms:? = prediction.map(|prediction| millis(prediction.pass)),
         factor:? = prediction.map(|prediction| prediction.factor),
-        cautious:? = prediction.map(|prediction| prediction.is_cautious),
+        cautious:? = basis.map(|basis| basis.is_cautious),
         version:? = gateway.version(),
         age_ms = millis(age);
         "refuse"
