What a group sends to its lead, and the lead to it, stays within the lead's link

Now: counts go to a few ranks that add them up, as many as the link bears; maps travel as what differs from one that both know, the first map among them, and are passed on by ranks; whole maps are paced; words to gateways are passed on by gateways where the link asks for it; the lead takes all that has come before it decides once; a plan counts only the layer that it changes anew. Small groups on wide links speak to their lead as before.

--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -14,6 +14,7 @@
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Digest;
+use auburnline_lockstep::message::Forwarded;
 use auburnline_membership::discovery;
 use auburnline_membership::discovery::Candidate;
 use auburnline_membership::discovery::Offer;
@@ -82,6 +83,8 @@
     Ask(Ask),
     /// Word of a lead about its group.
     Group(Digest),
+    /// The same, to be passed on.
+    Forwarded(Forwarded),
     /// Question for what changed at the store.
     Question(spread::Question),
     /// What changed at the store.
--- a/crates/lockstep/src/coordinator.rs
+++ b/crates/lockstep/src/coordinator.rs
@@ -32,6 +32,8 @@
 use crate::sight::Version;
 use crate::told::Note;
 use crate::told::Send;
+use crate::traffic::Link;
+use crate::traffic::Pace;
 
 /// Rank beside which the coordinator runs.
 pub const LEADER: Rank = 0;
@@ -55,6 +57,17 @@
     held: Option<Vec<Vec<Expert>>>,
 }
 
+/// What a coordinator works for, and with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Service {
+    /// Published shape of the experts.
+    pub shape: Shape,
+    /// Published cost of a pass.
+    pub cost: Cost,
+    /// Link of the own instance.
+    pub link: Link,
+}
+
 /// Layout with its number.
 #[derive(Clone, Debug)]
 struct Known {
@@ -71,11 +84,14 @@
     popularity: Popularity,
     in_force: Option<Known>,
     next: Option<Known>,
-    /// Map in force that all ranks were sent whole or by its difference.
-    shared: Option<Known>,
     change: Option<Change>,
     began: Monotonic,
+    /// Longest copying on a rank for the change under way.
+    copying: Duration,
     given: Given,
+    link: Link,
+    /// When the next whole map may leave.
+    maps: Pace,
     planned_at: Monotonic,
     passes: Passes,
     stage: Stage,
@@ -90,7 +106,8 @@
     /// Returns a coordinator that has seen nothing; `started` is the time of day at which the clock of
     /// `now` was zero.
     #[must_use]
-    pub fn new(shape: Shape, cost: Cost, started: Duration, now: Monotonic) -> Coordinator {
+    pub fn new(service: Service, started: Duration, now: Monotonic) -> Coordinator {
+        let Service { shape, cost, link } = service;
         Coordinator {
             shape,
             cost,
@@ -99,10 +116,12 @@
             popularity: Popularity::new(shape.layers, shape.experts),
             in_force: None,
             next: None,
-            shared: None,
             change: None,
             began: now,
+            copying: Duration::ZERO,
             given: Given::default(),
+            link,
+            maps: Pace::default(),
             planned_at: now,
             passes: Passes::default(),
             stage: Stage::Relief,
@@ -189,7 +208,6 @@
         self.given.clear();
         self.in_force = None;
         self.next = None;
-        self.shared = None;
         self.floor = 0;
         self.passes = Passes::default();
         self.stage = Stage::Relief;
@@ -258,7 +276,6 @@
         }
         let size = first.size;
         let next = self.next.take_if(|known| known.version == version);
-        self.shared.clone_from(&next);
         let known = next.map(|known| known.layout).or_else(|| {
             let is_initial = version == 0;
             is_initial.then(|| Arc::new(Layout::initial(&self.shape, size)))
--- a/crates/lockstep/src/coordinator/ordering.rs
+++ b/crates/lockstep/src/coordinator/ordering.rs
@@ -24,7 +24,7 @@
     pub(super) fn release_stray(&mut self, step: Step, now: Monotonic) -> Vec<Send> {
         let order = (HOLDER, Order::Release(step));
         let epoch = self.epoch.filter(|_| self.is_due(order, now));
-        let send = epoch.map(|epoch| self.give(HOLDER, epoch, order.1, now));
+        let send = epoch.and_then(|epoch| self.give(HOLDER, epoch, order.1, now));
         send.into_iter().collect()
     }
 
@@ -47,7 +47,7 @@
                 let due = orders.into_iter().filter(|order| self.is_due(*order, now));
                 let due: Vec<_> = due.collect();
                 due.into_iter()
-                    .map(|(rank, order)| self.give(rank, epoch, order, now))
+                    .filter_map(|(rank, order)| self.give(rank, epoch, order, now))
                     .collect()
             }
             Progress::Done => {
@@ -72,25 +72,32 @@
             at: member.seen,
             is_busy: member.sight.is_busy,
         });
-        self.given.is_due(rank, order, self.copying(), shown, now)
+        self.given.is_due(rank, order, self.copying, shown, now)
     }
 
-    fn give(&mut self, rank: Rank, epoch: Epoch, order: Order, now: Monotonic) -> Send {
-        let is_repeated = self.given.is_repeated(rank, order);
-        self.given.note(rank, order, now);
-        let (layout, base) = match order {
-            Order::Prepare(_) => (
-                self.next.as_ref().map(|next| Arc::clone(&next.layout)),
-                self.shared.clone().filter(|_| !is_repeated),
-            ),
-            Order::Hold(_) | Order::Arm(_) | Order::Release(_) => (None, None),
-        };
-        Send {
+    /// Gives an order; none if it would need a whole map, and others have just left.
+    fn give(&mut self, rank: Rank, epoch: Epoch, order: Order, now: Monotonic) -> Option<Send> {
+        let mut send = Send {
             rank,
             epoch,
             order,
-            layout,
-            base: base.map(|known| (known.version, known.layout)),
+            layout: None,
+            base: None,
+        };
+        if let (Order::Prepare(_), Some(next)) = (order, &self.next) {
+            send.layout = Some(Arc::clone(&next.layout));
+            // A rank that did not act on what differs may not know the map in force.
+            let is_repeated = self.given.is_repeated(rank, order);
+            let known = self.in_force.as_ref().filter(|_| !is_repeated);
+            send.base = known.map(|known| (known.version, Arc::clone(&known.layout)));
         }
+        if let (Some(layout), None) = (&send.layout, &send.base) {
+            let time = self.link.map_time(layout.bytes());
+            if !self.maps.take(time, now) {
+                return None;
+            }
+        }
+        self.given.note(rank, order, now);
+        Some(send)
     }
 }
--- a/crates/lockstep/src/coordinator/planning.rs
+++ b/crates/lockstep/src/coordinator/planning.rs
@@ -12,6 +12,7 @@
 use crate::plan::Plan;
 use crate::plan::Scope;
 use crate::plan::plan;
+use crate::sight::Sight;
 use crate::sight::Version;
 use crate::told::Note;
 
@@ -62,6 +63,8 @@
         let Some(epoch) = self.epoch else {
             return;
         };
+        let copies = u32::try_from(plan.copies).unwrap_or(u32::MAX);
+        self.copying = self.shape.copy.saturating_mul(copies);
         self.next = Some(Known {
             version,
             layout: Arc::new(plan.layout.clone()),
@@ -101,15 +104,22 @@
         }
     }
 
+    /// Returns whether all ranks were seen lately.
+    #[must_use]
+    pub fn is_in_reach(&self, now: Monotonic) -> bool {
+        let mut members = self.members.values();
+        self.is_whole() && members.all(|member| now.saturating_sub(member.seen) < SIGHT_AGE)
+    }
+
     /// Returns whether all ranks are in reach, in one map, and nothing is under way.
     fn is_calm(&self, now: Monotonic) -> bool {
         let version = self.in_force.as_ref().map(|known| known.version);
-        self.members.values().all(|member| {
-            let sight = &member.sight;
-            let is_fresh = now.saturating_sub(member.seen) < SIGHT_AGE;
-            let is_still = sight.armed.is_none() && sight.held.is_none() && !sight.is_busy;
-            is_fresh && is_still && sight.is_open && Some(sight.version) == version
-        })
+        let mut sights = self.members.values().map(|member| &member.sight);
+        let is_still = |sight: &Sight| {
+            let is_free = sight.armed.is_none() && sight.held.is_none() && !sight.is_busy;
+            is_free && sight.is_open && Some(sight.version) == version
+        };
+        self.is_in_reach(now) && sights.all(is_still)
     }
 
     /// Returns a version above all that were seen and all that a coordinator before picked: what that
@@ -124,16 +134,4 @@
         let time = u64::try_from((self.started + now).as_millis());
         time.unwrap_or(0).max(newest + 1)
     }
-
-    /// Returns the longest copying of the change under way.
-    pub(super) fn copying(&self) -> Duration {
-        let (Some(next), Some(known)) = (&self.next, &self.in_force) else {
-            return Duration::ZERO;
-        };
-        let copies = next.layout.new_by_rank(&known.layout);
-        let most = copies.into_iter().max().unwrap_or(0);
-        self.shape
-            .copy
-            .saturating_mul(u32::try_from(most).unwrap_or(0))
-    }
 }
--- a/crates/lockstep/src/message.rs
+++ b/crates/lockstep/src/message.rs
@@ -34,6 +34,10 @@
     Command(Command),
     /// The one that leads is about to order a hold.
     Pledge(Pledge),
+    /// A sidecar gives the counts of its rank to one that adds up those of several.
+    Counts(Counts),
+    /// The one that leads has an order for many ranks, which the receiver passes on.
+    Forward(Forward),
 }
 
 /// Upstreams of a service, and how its experts are placed.
@@ -82,6 +86,15 @@
     pub engines: Vec<Busy>,
 }
 
+/// Word of a lead that a gateway passes on to others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Forwarded {
+    /// Gateways to pass it on to.
+    pub to: Vec<SocketAddr>,
+    /// Word; the receiver takes it too.
+    pub digest: Digest,
+}
+
 /// Word of the sidecar that leads a group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lead {
@@ -91,6 +104,8 @@
     pub epoch: Epoch,
     /// Whether the layout in force is not known.
     pub wants_layout: bool,
+    /// Sidecar that collects the counts of the receiver's rank; none if they go to the one that leads.
+    pub collector: Option<SocketAddr>,
 }
 
 /// One rank as its sidecar sees it.
@@ -108,6 +123,17 @@
     pub held: Option<Vec<Vec<Expert>>>,
 }
 
+/// Choices of experts at one rank on their way to the sidecar that adds them up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Group.
+    pub group: String,
+    /// Epoch in which they were counted.
+    pub epoch: Epoch,
+    /// Choices since the last word, layer by layer.
+    pub choices: Vec<u32>,
+}
+
 /// Order for a rank.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Command {
@@ -119,4 +145,15 @@
     pub order: Order,
     /// Layout to prepare.
     pub layout: Option<Parcel>,
+    /// Who is shown what came of it; none if that is the sender.
+    pub reports_to: Option<SocketAddr>,
+}
+
+/// Order that goes to many ranks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Forward {
+    /// Sidecars to pass it on to.
+    pub to: Vec<SocketAddr>,
+    /// Order; the receiver follows it too.
+    pub command: Command,
 }
--- a/crates/lockstep/src/plan.rs
+++ b/crates/lockstep/src/plan.rs
@@ -159,23 +159,20 @@
         .map(|(held, shares)| Draft::new(held, shares, shape, scope.searched, slowness))
         .collect();
     let skew_before = skew(&drafts);
-    let mut layout = before.clone();
+    let mut board = Board::new(before, shape, scope.longest_copy);
     let mut closed = vec![false; drafts.len()];
     while let Some((layer, taken)) = best(&drafts, &closed, least_step) {
-        let mut next = layout.clone();
-        next.0[layer] = drafts[layer].layer(taken, ranks);
-        if fits(&next, before, shape, scope.longest_copy) {
+        if board.lay(layer, drafts[layer].layer(taken, ranks)) {
             drafts[layer].taken = taken;
-            layout = next;
         } else {
             closed[layer] = true;
         }
     }
     let skew_after = skew(&drafts);
-    let copies = layout.new_by_rank(before).into_iter().max().unwrap_or(0);
+    let copies = board.most_copies();
     let is_worth = skew_before - skew_after >= skew_of(scope.least_gain) && copies > 0;
     is_worth.then_some(Plan {
-        layout,
+        layout: board.layout,
         skew_before,
         skew_after,
         copies,
@@ -204,18 +201,67 @@
     (overall >= least_step).then_some((layer, taken))
 }
 
-/// Returns whether no rank would copy more than it may, nor longer than it should.
-fn fits(next: &Layout, before: &Layout, shape: &Shape, longest_copy: Duration) -> bool {
-    let copies = next.new_by_rank(before).into_iter().max().unwrap_or(0);
-    let copies = u32::try_from(copies).unwrap_or(u32::MAX);
-    let is_quick = copies <= 1 || shape.copy.saturating_mul(copies) <= longest_copy;
-    let is_allowed = next.0.iter().zip(&before.0).all(|(layer, old)| {
-        layer.iter().zip(old).all(|(held, had)| {
+/// A layout on its way from the one in force, with what each rank has to copy for it.
+///
+/// Only the layer that changes is counted anew: a group of 64 ranks and 12 layers is laid some hundred times for one plan.
+struct Board<'a> {
+    before: &'a Layout,
+    shape: &'a Shape,
+    longest_copy: Duration,
+    layout: Layout,
+    /// Experts that are new to each rank, layer by layer.
+    new: Vec<Vec<usize>>,
+    /// The same over all layers.
+    copies: Vec<usize>,
+}
+
+impl<'a> Board<'a> {
+    fn new(before: &'a Layout, shape: &'a Shape, longest_copy: Duration) -> Board<'a> {
+        let ranks = before.0.first().map_or(0, Vec::len);
+        Board {
+            before,
+            shape,
+            longest_copy,
+            layout: before.clone(),
+            new: vec![vec![0; ranks]; before.0.len()],
+            copies: vec![0; ranks],
+        }
+    }
+
+    /// Lays one layer anew, unless a rank would copy more than it may, or longer than it should.
+    fn lay(&mut self, layer: usize, held: Vec<Vec<Expert>>) -> bool {
+        let old = &self.before.0[layer];
+        let new = held.iter().zip(old).map(|(held, had)| {
             let new = held.iter().filter(|expert| !had.contains(expert));
-            held.len() <= shape.places && new.count() <= shape.most_new
-        })
-    });
-    is_quick && is_allowed
+            new.count()
+        });
+        let new: Vec<usize> = new.collect();
+        let is_allowed = held
+            .iter()
+            .zip(&new)
+            .all(|(held, new)| held.len() <= self.shape.places && *new <= self.shape.most_new);
+        let copies = self.copies.iter().zip(&self.new[layer]).zip(&new);
+        let copies: Vec<usize> = copies
+            .map(|((sum, before), now)| sum - before + now)
+            .collect();
+        if !is_allowed || !self.is_quick(&copies) {
+            return false;
+        }
+        self.layout.0[layer] = held;
+        self.new[layer] = new;
+        self.copies = copies;
+        true
+    }
+
+    fn is_quick(&self, copies: &[usize]) -> bool {
+        let most = copies.iter().copied().max().unwrap_or(0);
+        let most = u32::try_from(most).unwrap_or(u32::MAX);
+        most <= 1 || self.shape.copy.saturating_mul(most) <= self.longest_copy
+    }
+
+    fn most_copies(&self) -> usize {
+        self.copies.iter().copied().max().unwrap_or(0)
+    }
 }
 
 /// Returns a layer with all places filled: an empty one repeats the rank's least chosen expert, which
--- a/crates/lockstep/src/told.rs
+++ b/crates/lockstep/src/told.rs
@@ -24,7 +24,7 @@
     pub order: Order,
     /// Layout to prepare.
     pub layout: Option<Arc<Layout>>,
-    /// Map in force, if the rank most likely knows it: then what differs from it is enough.
+    /// Map in force, if the rank most likely knows it: then what differs from it is enough. The first map is known to all.
     pub base: Option<(Version, Arc<Layout>)>,
 }
 
@@ -40,20 +40,18 @@
     }
 }
 
-/// Whose turn it is to be told, where a word goes to some of very many only.
+/// Whose turn it is to be told first, where those told first pass a word on.
+///
+/// One that is gone passes nothing on; with each word others are first, so that nobody misses more than one for it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Turn(usize);
 
 impl Turn {
-    /// Returns the next `most` of `all`, or all if there are no more.
-    pub fn take<'a, T>(
-        &mut self,
-        all: &'a [T],
-        most: usize,
-    ) -> impl Iterator<Item = &'a T> + use<'a, T> {
+    /// Returns all, from the next one on.
+    pub fn take<'a, T>(&mut self, all: &'a [T]) -> impl Iterator<Item = &'a T> + use<'a, T> {
         let from = self.0;
-        self.0 = (from + most) % all.len().max(1);
-        all.iter().cycle().skip(from).take(most.min(all.len()))
+        self.0 = (from + 1) % all.len().max(1);
+        all.iter().cycle().skip(from).take(all.len())
     }
 }
 
--- a/crates/lockstep/tests/all/main.rs
+++ b/crates/lockstep/tests/all/main.rs
@@ -11,4 +11,6 @@
 mod plan;
 mod popularity;
 mod support;
+mod tally;
 mod told;
+mod traffic;
--- /dev/null
+++ b/crates/lockstep/tests/all/tally.rs
@@ -0,0 +1,43 @@
+//! Counts that are added up on their way to the lead.
+
+use auburnline_lockstep::tally::Tally;
+use googletest::prelude::*;
+
+/// Pattern: a group of 64 ranks with 3,072 counts each, of which the lead's link carries those of a few.
+#[gtest]
+fn counts_of_several_ranks_go_on_as_one_sum_and_only_once() {
+    let mut tally = Tally::default();
+    tally.take(3, &[1, 2]);
+    tally.take(3, &[10, 20]);
+    let mut own = [100, 200];
+    tally.add_to(&mut own, Some(3));
+    assert_that!(own, eq([111, 222]));
+    let mut next = [1, 1];
+    tally.add_to(&mut next, Some(3));
+    assert_that!(next, eq([1, 1]));
+}
+
+/// A group that formed anew begins with the first map; choices of before tell nothing of what it now has to carry.
+#[gtest]
+fn counts_of_another_epoch_are_not_added() {
+    let mut tally = Tally::default();
+    tally.take(3, &[5, 5]);
+    tally.take(4, &[1, 1]);
+    tally.take(3, &[7, 7]);
+    let mut own = [0, 0];
+    tally.add_to(&mut own, Some(4));
+    assert_that!(own, eq([1, 1]));
+    tally.take(4, &[1, 1]);
+    tally.add_to(&mut own, Some(5));
+    assert_that!(own, eq([1, 1]));
+}
+
+#[gtest]
+fn counts_of_another_shape_are_not_added() {
+    let mut tally = Tally::default();
+    tally.take(3, &[1, 2]);
+    tally.take(3, &[1, 2, 3]);
+    let mut own = [0, 0];
+    tally.add_to(&mut own, Some(3));
+    assert_that!(own, eq([1, 2]));
+}
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -11,6 +11,8 @@
 use auburnline_gateway::neighbour::MAX_COUNTS;
 use auburnline_gateway::neighbour::PERIOD;
 use auburnline_gateway::route::ServiceId;
+use auburnline_lockstep::message::Digest;
+use auburnline_lockstep::message::Forwarded;
 use auburnline_lockstep::message::Message;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -111,15 +113,12 @@
             let members = shared.gateway().members(&ask, shared.now());
             shared.tell(&Message::Members(members), from);
         }
-        Ok(Datagram::Group(digest)) => {
-            let now = shared.now();
-            let is_change = shared.gateway().hear(&digest, now);
-            if is_change {
-                let (group, is_open) = (digest.group.as_str(), digest.is_open);
-                log::info!(target: "groups", group, is_open, ranks = digest.engines.len(); "heard");
-                shared
-                    .place(&ServiceId::from(digest.service.as_str()))
-                    .notify_waiters();
+        Ok(Datagram::Group(digest)) => take_group(shared, &digest),
+        Ok(Datagram::Forwarded(Forwarded { to, digest })) => {
+            take_group(shared, &digest);
+            let message = Datagram::Group(digest);
+            for gateway in to {
+                shared.tell(&message, gateway);
             }
         }
         Ok(Datagram::Question(question)) => shared.answer(question, from),
@@ -132,6 +131,17 @@
     }
 }
 
+fn take_group(shared: &Shared, digest: &Digest) {
+    let now = shared.now();
+    let is_change = shared.gateway().hear(digest, now);
+    if is_change {
+        let (group, is_open) = (digest.group.as_str(), digest.is_open);
+        log::info!(target: "groups", group, is_open, ranks = digest.engines.len(); "heard");
+        let service = ServiceId::from(digest.service.as_str());
+        shared.place(&service).notify_waiters();
+    }
+}
+
 fn take(shared: &Shared, beat: Beat) {
     let now = shared.now();
     let mut gateway = shared.gateway();
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -12,9 +12,8 @@
 use auburnline_lockstep::Coordinator;
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::coordinator::LEADER;
-use auburnline_lockstep::cost::Cost;
+use auburnline_lockstep::coordinator::Service;
 use auburnline_lockstep::deputy::Pledge;
-use auburnline_lockstep::layout::Shape;
 use auburnline_lockstep::message::Busy;
 use auburnline_lockstep::message::Digest;
 use auburnline_lockstep::message::Members;
@@ -22,16 +21,20 @@
 use auburnline_lockstep::sight::Switch;
 use auburnline_lockstep::told::Note;
 use auburnline_lockstep::told::Send;
+use auburnline_lockstep::traffic::parts;
+
+use crate::sidecar::COUNT_PERIOD;
 
 /// Time between two words to gateways: by these they admit requests, and some passes of a group's load are
 /// not yet in the last one.
-const DIGEST_PERIOD: Duration = Duration::from_millis(190);
+pub(crate) const DIGEST_PERIOD: Duration = Duration::from_millis(190);
 /// Time between two lines that tell how the group runs.
 const PULSE_PERIOD: Duration = Duration::from_secs(1);
 
 /// State of the sidecar that leads.
 pub(crate) struct Lead {
     group: String,
+    service: Service,
     coordinator: Coordinator,
     /// Where each rank's sidecar was heard from.
     addresses: BTreeMap<Rank, SocketAddr>,
@@ -45,16 +48,11 @@
 
 impl Lead {
     /// Returns the lead of a group.
-    pub(crate) fn new(
-        group: String,
-        shape: Shape,
-        cost: Cost,
-        started: Duration,
-        now: Monotonic,
-    ) -> Lead {
+    pub(crate) fn new(group: String, service: Service, started: Duration, now: Monotonic) -> Lead {
         Lead {
             group,
-            coordinator: Coordinator::new(shape, cost, started, now),
+            service,
+            coordinator: Coordinator::new(service, started, now),
             addresses: BTreeMap::new(),
             born: BTreeMap::new(),
             told_at: now,
@@ -79,6 +77,23 @@
         self.addresses.get(&rank).copied()
     }
 
+    /// Returns the sidecars of the other ranks, once all were heard lately; none before.
+    pub(crate) fn ranks(&self, now: Monotonic) -> Option<Vec<(Rank, SocketAddr)>> {
+        let heard = self.coordinator.is_in_reach(now);
+        let ranks = self.addresses.iter();
+        heard.then(|| ranks.map(|(rank, address)| (*rank, *address)).collect())
+    }
+
+    /// Returns the sidecars that collect the counts of others, and for whom.
+    pub(crate) fn collectors(&self, ranks: &[(Rank, SocketAddr)]) -> Vec<Vec<SocketAddr>> {
+        let Service { shape, link, .. } = self.service;
+        let most = link.collectors(ranks.len(), shape.layers * shape.experts, COUNT_PERIOD);
+        let parts = parts(ranks, most);
+        parts
+            .map(|part| part.iter().map(|(_, address)| *address).collect())
+            .collect()
+    }
+
     /// Returns the pledge of the hold that is among `sends`, if one is.
     pub(crate) fn pledge(&self, sends: &[Send], own: SocketAddr) -> Option<Pledge> {
         let hold = sends.iter().find_map(|send| match send.order {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 
 /// Settings of a sidecar, read from JSON.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Settings {
     /// Name of the instance.
     pub instance: String,
@@ -24,6 +24,8 @@
     pub engine: SocketAddr,
     /// Service that the engine belongs to.
     pub service: String,
+    /// Megabits a second of the instance's link.
+    pub link_mbps: f64,
 }
 
 impl auburnline_settings::Settings for Settings {
@@ -34,12 +36,11 @@
             ("service", &self.service),
         ];
         let empty = texts.into_iter().filter(|(_, text)| text.is_empty());
-        let faults: Vec<Fault> = empty
-            .map(|(path, _)| Fault {
-                path: path.to_owned(),
-                reason: Reason::Malformed("is empty".to_owned()),
-            })
-            .collect();
+        let mut faults: Vec<Fault> = empty.map(|(path, _)| fault(path, "is empty")).collect();
+        let is_link = self.link_mbps.is_finite() && self.link_mbps > 0.0;
+        if !is_link {
+            faults.push(fault("link_mbps", "is no positive number"));
+        }
         if faults.is_empty() {
             Ok(())
         } else {
@@ -47,3 +48,10 @@
         }
     }
 }
+
+fn fault(path: &str, cause: &str) -> Fault {
+    Fault {
+        path: path.to_owned(),
+        reason: Reason::Malformed(cause.to_owned()),
+    }
+}
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -19,6 +19,7 @@
 use auburnline_lockstep::message::Show;
 use auburnline_lockstep::sight::Epoch;
 use auburnline_lockstep::sight::Version;
+use auburnline_lockstep::tally::Tally;
 use auburnline_lockstep::told::Turn;
 use serde::Serialize;
 use tokio::net::UdpSocket;
@@ -36,7 +37,7 @@
 /// costs about half a millisecond of the instance's processor.
 const PERIOD: Duration = Duration::from_millis(100);
 /// Least time between two readings of the counts; a little less than between two looks.
-const COUNT_PERIOD: Duration = Duration::from_millis(90);
+pub(crate) const COUNT_PERIOD: Duration = Duration::from_millis(90);
 /// Time after which a rank is shown though nothing about it changed; a little less than between two looks.
 const SHOW_PERIOD: Duration = Duration::from_millis(180);
 /// Time between two looks while an order awaits its effect.
@@ -46,6 +47,8 @@
 /// Time for which looks stay quick after an order to prepare: a plan copies for 0.3 s at most, and the group
 /// waits for its last rank to be seen ready.
 const QUICK_COPY: Duration = Duration::from_millis(700);
+/// Words that are taken before the next decision: one of each rank of a large group, so that looks are not held up for long.
+const MOST_AT_ONCE: usize = 64;
 /// Largest datagram.
 const MAX_BYTES: usize = 60 << 10;
 
@@ -55,6 +58,8 @@
     address: SocketAddr,
     heard: Monotonic,
     wants_layout: bool,
+    /// Who collects the counts of the own rank; none if that is the one that leads.
+    collector: Option<SocketAddr>,
 }
 
 /// State of one sidecar.
@@ -71,6 +76,8 @@
     leader: Option<Leader>,
     counts: Counts,
     counted: Option<Monotonic>,
+    /// Counts of other ranks that are to go on with the own ones.
+    tally: Tally,
     /// When the rank was looked at last.
     looked: Monotonic,
     /// Until when looks are quick.
@@ -110,6 +117,7 @@
             leader: None,
             counts: Counts::default(),
             counted: None,
+            tally: Tally::default(),
             looked: Monotonic::ZERO,
             quick_until: Monotonic::ZERO,
             shown: None,
@@ -133,7 +141,11 @@
             tokio::select! {
                 () = sleep(pause) => self.look().await,
                 received = self.socket.recv_from(&mut bytes) => match received {
-                    Ok((length, from)) => self.hear(&bytes[..length], from).await,
+                    Ok((length, from)) => {
+                        self.hear(&bytes[..length], from).await;
+                        self.drain(&mut bytes).await;
+                        self.step().await;
+                    }
                     Err(error) => {
                         let cause = error.to_string();
                         log::debug!(target: "sidecar", cause = cause.as_str(); "no datagram");
@@ -143,6 +155,17 @@
         }
     }
 
+    /// Takes what else has come, so that the lead decides once for all of it: the ranks of a large group tell of themselves
+    /// some hundred times a second.
+    async fn drain(&mut self, bytes: &mut [u8]) {
+        for _ in 0..MOST_AT_ONCE {
+            let Ok((length, from)) = self.socket.try_recv_from(bytes) else {
+                return;
+            };
+            self.hear(&bytes[..length], from).await;
+        }
+    }
+
     /// Returns the time until the next look.
     fn pause(&self) -> Duration {
         let now = self.clock.now();
@@ -233,7 +256,9 @@
         };
         self.counted = Some(now);
         let before = std::mem::replace(&mut self.counts, counts);
-        self.counts.since(&before)
+        let mut choices = self.counts.since(&before);
+        self.tally.add_to(&mut choices, self.epoch);
+        choices
     }
 
     /// Returns the experts that the rank holds, if they were asked for.
@@ -286,18 +311,32 @@
                         address: from,
                         heard: now,
                         wants_layout: word.wants_layout,
+                        collector: word.collector,
                     });
                 }
             }
             Message::Show(show) => {
                 if let Some(lead) = &mut self.lead {
                     lead.see(show, Some(from), now);
-                    self.step().await;
                 } else if self.group.as_ref() == Some(&show.group) {
                     self.deputy.see(&show.sight);
                 }
             }
+            Message::Counts(counts) => {
+                if self.group.as_ref() == Some(&counts.group) {
+                    self.tally.take(counts.epoch, &counts.choices);
+                }
+            }
             Message::Command(command) => self.follow(command, from).await,
+            Message::Forward(forward) => {
+                let message = Message::Command(forward.command);
+                for address in forward.to {
+                    self.tell(&message, address).await;
+                }
+                if let Message::Command(command) = message {
+                    self.follow(command, from).await;
+                }
+            }
             Message::Pledge(pledge) => {
                 if self.group.as_ref() == Some(&pledge.group) {
                     let is_known = self.deputy.pledge(pledge, now);
--- a/crates/sidecar/src/sidecar/following.rs
+++ b/crates/sidecar/src/sidecar/following.rs
@@ -7,9 +7,11 @@
 use auburnline_core::id::Step;
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::change::Order;
+use auburnline_lockstep::layout::Base;
 use auburnline_lockstep::layout::Layout;
 use auburnline_lockstep::layout::Parcel;
 use auburnline_lockstep::message::Command;
+use auburnline_lockstep::message::Counts;
 use auburnline_lockstep::message::Message;
 use auburnline_lockstep::message::Show;
 use auburnline_lockstep::sight::Epoch;
@@ -52,14 +54,17 @@
 }
 
 impl<E: Engine> Sidecar<E> {
-    pub(super) async fn show(&mut self, show: Show) {
+    pub(super) async fn show(&mut self, mut show: Show) {
         let now = self.clock.now();
         let is_fresh = |leader: &Leader| now.saturating_sub(leader.heard) < LEAD_AGE;
         self.see_through(&show.sight, now).await;
-        let leader = self.leader.filter(is_fresh).map(|leader| leader.address);
-        let Some(address) = self.asked_by.or(leader) else {
+        let leader = self.leader.filter(is_fresh);
+        let Some(address) = self.asked_by.or(leader.map(|leader| leader.address)) else {
             return;
         };
+        if let Some(collector) = leader.and_then(|leader| leader.collector) {
+            self.give_counts(&mut show, collector).await;
+        }
         let state = State::of(&show.sight);
         let is_told = self.shown.is_some_and(|(shown, at)| {
             shown == state && now.saturating_sub(at) < SHOW_PERIOD && show.held.is_none()
@@ -71,6 +76,21 @@
         self.tell(&Message::Show(show), address).await;
     }
 
+    /// Gives the counts of the own rank to the sidecar that collects them.
+    async fn give_counts(&self, show: &mut Show, collector: SocketAddr) {
+        let choices = std::mem::take(&mut show.choices);
+        if choices.is_empty() || collector == self.settings.peers {
+            show.choices = choices;
+            return;
+        }
+        let counts = Counts {
+            group: show.group.clone(),
+            epoch: show.sight.epoch,
+            choices,
+        };
+        self.tell(&Message::Counts(counts), collector).await;
+    }
+
     /// As the deputy, ends a hold whose lead fell silent, or takes the change forward if ranks may be armed.
     async fn see_through(&mut self, own: &Sight, now: Monotonic) {
         self.deputy.see(own);
@@ -99,6 +119,7 @@
                     epoch,
                     order,
                     layout: None,
+                    reports_to: None,
                 };
                 self.tell(&Message::Command(command), *address).await;
             }
@@ -112,17 +133,22 @@
             return Ok(None);
         };
         let base = parcel.base();
+        let built_on = match base {
+            Some(Base::Sent(version)) => Some(version),
+            Some(Base::Initial { .. }) | None => None,
+        };
         let Some(layout) = parcel.open(&self.layouts) else {
-            return Err(base.unwrap_or_default());
+            return Err(built_on.unwrap_or_default());
         };
         // A change that is given up leaves its map behind; the one in force is the one built on.
-        self.layouts.retain(|(known, _)| Some(*known) == base);
+        self.layouts.retain(|(known, _)| Some(*known) == built_on);
         self.layouts.push((version, layout.clone()));
         Ok(Some(layout))
     }
 
     /// Passes an order of the one that leads or its deputy on, and shows what came of it.
     pub(super) async fn follow(&mut self, command: Command, from: SocketAddr) {
+        let reports_to = command.reports_to.unwrap_or(from);
         let is_ours = self.group.as_ref() == Some(&command.group);
         if !is_ours || self.epoch != Some(command.epoch) {
             return;
@@ -152,7 +178,7 @@
         give(&self.engine, command.epoch, command.order, layout.as_ref()).await;
         self.hasten(command.order);
         self.shown = None;
-        self.asked_by = Some(from);
+        self.asked_by = Some(reports_to);
         self.look().await;
         self.asked_by = None;
     }
--- a/crates/sidecar/src/sidecar/leading.rs
+++ b/crates/sidecar/src/sidecar/leading.rs
@@ -8,20 +8,27 @@
 use auburnline_gateway::neighbour::Datagram;
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::coordinator::LEADER;
+use auburnline_lockstep::coordinator::Service;
 use auburnline_lockstep::deputy::DEPUTY;
 use auburnline_lockstep::deputy::Pledge;
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Command;
 use auburnline_lockstep::message::Digest;
+use auburnline_lockstep::message::Forward;
+use auburnline_lockstep::message::Forwarded;
 use auburnline_lockstep::message::Lead as LeadWord;
 use auburnline_lockstep::message::Members;
 use auburnline_lockstep::message::Message;
 use auburnline_lockstep::message::Show;
 use auburnline_lockstep::told::Send;
+use auburnline_lockstep::traffic::Link;
+use auburnline_lockstep::traffic::hops;
+use auburnline_lockstep::traffic::parts;
 
 use super::SHOW_PERIOD;
 use super::Sidecar;
 use crate::engine::Engine;
+use crate::lead::DIGEST_PERIOD;
 use crate::lead::Lead;
 use crate::order::give;
 
@@ -31,8 +38,8 @@
 /// its lead nobody knows its load and its map stays the first one.
 const FIRST_ASK_PERIOD: Duration = Duration::from_millis(200);
 
-/// Gateways that are told of the group with one word: all of today's fleets, and a bound on the cost of a lead.
-const TOLD_AT_ONCE: usize = 64;
+/// Bytes that a word to gateways takes for each engine.
+const ENGINE_BYTES: usize = 9;
 
 impl<E: Engine> Sidecar<E> {
     pub(super) async fn lead(&mut self, show: Show) {
@@ -43,14 +50,17 @@
         let Some((shape, cost)) = published else {
             return;
         };
+        let link = Link::of_mbps(self.settings.link_mbps);
+        let service = Service { shape, cost, link };
         let started = self.started;
         let lead = self
             .lead
-            .get_or_insert_with(|| Lead::new(show.group.clone(), shape, cost, started, now));
+            .get_or_insert_with(|| Lead::new(show.group.clone(), service, started, now));
         let word = LeadWord {
             group: show.group.clone(),
             epoch: show.sight.epoch,
             wants_layout: lead.wants_layout(),
+            collector: None,
         };
         lead.see(show, None, now);
         lead.tell_pulse(now);
@@ -83,33 +93,62 @@
         }
     }
 
-    /// Tells the other sidecars who leads.
+    /// Tells the other sidecars who leads, and who collects their counts: those of the group once all were heard, else all
+    /// of the service, since nobody knows yet which of them belong to it.
     async fn announce(&mut self, word: &LeadWord, now: Monotonic) {
-        let Some(members) = &self.members else {
-            return;
-        };
         if now.saturating_sub(self.announced) < SHOW_PERIOD {
             return;
         }
         self.announced = now;
-        let port = self.settings.peers.port();
-        let message = Message::Lead(word.clone());
-        for upstream in &members.upstreams {
-            let address = SocketAddr::new(upstream.ip(), port);
-            if address != self.settings.peers {
+        let (Some(lead), Some(members)) = (&self.lead, &self.members) else {
+            return;
+        };
+        let Some(ranks) = lead.ranks(now) else {
+            let port = self.settings.peers.port();
+            let sidecars = members.upstreams.iter();
+            let sidecars = sidecars.map(|upstream| SocketAddr::new(upstream.ip(), port));
+            let message = Message::Lead(word.clone());
+            for address in sidecars.filter(|address| *address != self.settings.peers) {
+                self.tell(&message, address).await;
+            }
+            return;
+        };
+        for part in lead.collectors(&ranks) {
+            let is_alone = part.len() == 1;
+            let collector = part.first().copied().filter(|_| !is_alone);
+            let word = LeadWord {
+                collector,
+                ..word.clone()
+            };
+            let message = Message::Lead(word);
+            for address in part {
                 self.tell(&message, address).await;
             }
         }
     }
 
-    /// Tells gateways of the group; of very many only some with each word, in turn.
+    /// Tells gateways of the group: all, or so many as the link bears, in turn, which pass it on to the others.
     async fn tell_gateways(&mut self, digest: Option<Digest>) {
         let (Some(digest), Some(members)) = (digest, &self.members) else {
             return;
         };
-        let message = Datagram::Group(digest);
-        for gateway in self.turn.take(&members.gateways, TOLD_AT_ONCE) {
-            self.tell(&message, *gateway).await;
+        let link = Link::of_mbps(self.settings.link_mbps);
+        let gateways: Vec<SocketAddr> = self.turn.take(&members.gateways).copied().collect();
+        let bytes = ENGINE_BYTES * digest.engines.len();
+        let first = link.first_told(gateways.len(), bytes, DIGEST_PERIOD);
+        for part in parts(&gateways, first) {
+            let Some((first, others)) = part.split_first() else {
+                continue;
+            };
+            let message = if others.is_empty() {
+                Datagram::Group(digest.clone())
+            } else {
+                Datagram::Forwarded(Forwarded {
+                    to: others.to_vec(),
+                    digest: digest.clone(),
+                })
+            };
+            self.tell(&message, *first).await;
         }
     }
 
@@ -126,6 +165,9 @@
         // Others first: an answer of the own engine that is lost would hold their orders up.
         let (own, others): (Vec<_>, Vec<_>) =
             sends.into_iter().partition(|send| send.rank == LEADER);
+        let (differences, others): (Vec<_>, Vec<_>) =
+            others.into_iter().partition(|send| send.base.is_some());
+        self.spread(differences).await;
         for send in others {
             self.hasten(send.order);
             match send.order {
@@ -165,6 +207,30 @@
         give(&engine, send.epoch, send.order, None).await;
     }
 
+    /// Gives one order to prepare what differs to all its ranks: to some of them, which pass it on to others.
+    async fn spread(&mut self, sends: Vec<Send>) {
+        let (Some(lead), Some(send)) = (&self.lead, sends.first()) else {
+            return;
+        };
+        let command = Command {
+            reports_to: Some(self.settings.peers),
+            ..command(lead, send)
+        };
+        let ranks = sends.iter().filter_map(|send| lead.address(send.rank));
+        let ranks: Vec<SocketAddr> = ranks.collect();
+        self.hasten(send.order);
+        for part in parts(&ranks, hops(ranks.len())) {
+            let Some((first, others)) = part.split_first() else {
+                continue;
+            };
+            let message = Message::Forward(Forward {
+                to: others.to_vec(),
+                command: command.clone(),
+            });
+            self.tell(&message, *first).await;
+        }
+    }
+
     async fn pass_on(&self, send: Send) {
         let Some(lead) = &self.lead else {
             return;
@@ -172,12 +238,17 @@
         let Some(address) = lead.address(send.rank) else {
             return;
         };
-        let command = Command {
-            group: lead.group().to_owned(),
-            epoch: send.epoch,
-            order: send.order,
-            layout: send.parcel(),
-        };
-        self.tell(&Message::Command(command), address).await;
+        let message = Message::Command(command(lead, &send));
+        self.tell(&message, address).await;
+    }
+}
+
+fn command(lead: &Lead, send: &Send) -> Command {
+    Command {
+        group: lead.group().to_owned(),
+        epoch: send.epoch,
+        order: send.order,
+        layout: send.parcel(),
+        reports_to: None,
     }
 }
