--- a/crates/lockstep/src/message.rs
+++ b/crates/lockstep/src/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use auburnline_core::id::Expert;
+use auburnline_core::id::FailureDomainId;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -117,6 +118,8 @@
     pub group: String,
     /// State of the rank.
     pub sight: Sight,
+    /// Failure domain of its instance.
+    pub failure_domain: FailureDomainId,
     /// Choices of experts since the last word, layer by layer; empty if there are none.
     pub choices: Vec<u32>,
     /// Experts that the rank holds by layer, if they were asked for.
--- /dev/null
+++ b/crates/lockstep/tests/all/asking.rs
@@ -0,0 +1,63 @@
+//! When a lead asks who serves.
+
+use std::time::Duration;
+
+use auburnline_lockstep::asking::Asking;
+use googletest::prelude::*;
+
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Returns how often it is asked within `time` from `from` on, where so many gateways answer each time.
+fn asked(
+    asking: &mut Asking,
+    from: Duration,
+    time: Duration,
+    gateways: impl Fn(Duration) -> usize,
+) -> usize {
+    let mut now = from;
+    let mut asked = 0;
+    while now < from + time {
+        if asking.is_due(now) {
+            asked += 1;
+            asking.hear(gateways(now), now);
+        }
+        now += LOOK;
+    }
+    asked
+}
+
+/// Pattern: power came back to 98 gateways and 192 sidecars at once. Gateways hear of each other within 1.5 s; a lead that
+/// knows 40 of them leaves the others blind until it asks again.
+#[gtest]
+fn while_gateways_come_to_light_it_is_asked_again_soon() {
+    let mut asking = Asking::default();
+    let known = |now: Duration| {
+        usize::try_from(now.as_millis() / 16)
+            .unwrap_or(98)
+            .clamp(1, 98)
+    };
+    let first = asked(
+        &mut asking,
+        Duration::ZERO,
+        Duration::from_millis(2_600),
+        known,
+    );
+    assert_that!(first, eq(13));
+    let later = asked(
+        &mut asking,
+        Duration::from_secs(3),
+        Duration::from_secs(20),
+        |_| 98,
+    );
+    assert_that!(later, le(11));
+}
+
+#[gtest]
+fn without_an_answer_it_is_asked_soon_for_good() {
+    let mut asking = Asking::default();
+    let mut count = 0;
+    for look in 0..100 {
+        count += usize::from(asking.is_due(LOOK * look));
+    }
+    assert_that!(count, eq(50));
+}
--- a/crates/lockstep/tests/all/main.rs
+++ b/crates/lockstep/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions on expert maps.
 
+mod asking;
 mod change;
 mod coordinator;
 mod cost;
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -1,11 +1,13 @@
 //! The part of a sidecar that leads its group.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use auburnline_core::id::FailureDomainId;
 use auburnline_core::id::Rank;
 use auburnline_core::id::Step;
 use auburnline_core::time::Monotonic;
@@ -21,7 +23,6 @@
 use auburnline_lockstep::sight::Switch;
 use auburnline_lockstep::told::Note;
 use auburnline_lockstep::told::Send;
-use auburnline_lockstep::traffic::parts;
 
 use crate::sidecar::COUNT_PERIOD;
 
@@ -31,13 +32,19 @@
 /// Time between two lines that tell how the group runs.
 const PULSE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Sidecar of another rank.
+struct Seat {
+    address: SocketAddr,
+    failure_domain: FailureDomainId,
+}
+
 /// State of the sidecar that leads.
 pub(crate) struct Lead {
     group: String,
     service: Service,
     coordinator: Coordinator,
     /// Where each rank's sidecar was heard from.
-    addresses: BTreeMap<Rank, SocketAddr>,
+    seats: BTreeMap<Rank, Seat>,
     /// When each rank's engine started, in Unix milliseconds.
     born: BTreeMap<Rank, u64>,
     told_at: Monotonic,
@@ -53,7 +60,7 @@
             group,
             service,
             coordinator: Coordinator::new(service, started, now),
-            addresses: BTreeMap::new(),
+            seats: BTreeMap::new(),
             born: BTreeMap::new(),
             told_at: now,
             told_step: 0,
@@ -72,26 +79,35 @@
         self.coordinator.wants_layout()
     }
 
+    fn addresses(&self) -> impl Iterator<Item = (Rank, SocketAddr)> {
+        let seats = self.seats.iter();
+        seats.map(|(rank, seat)| (*rank, seat.address))
+    }
+
     /// Returns where a rank's sidecar was heard from.
     pub(crate) fn address(&self, rank: Rank) -> Option<SocketAddr> {
-        self.addresses.get(&rank).copied()
+        self.seats.get(&rank).map(|seat| seat.address)
+    }
+
+    /// Returns the other ranks, once all were heard lately; none before.
+    pub(crate) fn ranks(&self, now: Monotonic) -> Option<Vec<Rank>> {
+        let is_heard = self.coordinator.is_in_reach(now);
+        is_heard.then(|| self.seats.keys().copied().collect())
     }
 
-    /// Returns the sidecars of the other ranks, once all were heard lately; none before.
-    pub(crate) fn ranks(&self, now: Monotonic) -> Option<Vec<(Rank, SocketAddr)>> {
-        let heard = self.coordinator.is_in_reach(now);
-        let ranks = self.addresses.iter();
-        heard.then(|| ranks.map(|(rank, address)| (*rank, *address)).collect())
+    /// Returns the sidecars of some ranks, those of a failure domain together, so that what they pass on to each other or
+    /// collect mostly stays within it.
+    pub(crate) fn sidecars(&self, ranks: impl IntoIterator<Item = Rank>) -> Vec<SocketAddr> {
+        let seats = ranks.into_iter().filter_map(|rank| self.seats.get(&rank));
+        let mut seats: Vec<&Seat> = seats.collect();
+        seats.sort_by(|one, other| one.failure_domain.cmp(&other.failure_domain));
+        seats.into_iter().map(|seat| seat.address).collect()
     }
 
-    /// Returns the sidecars that collect the counts of others, and for whom.
-    pub(crate) fn collectors(&self, ranks: &[(Rank, SocketAddr)]) -> Vec<Vec<SocketAddr>> {
+    /// Returns how many of the sidecars of so many ranks collect the counts of others.
+    pub(crate) fn collectors(&self, ranks: usize) -> usize {
         let Service { shape, link, .. } = self.service;
-        let most = link.collectors(ranks.len(), shape.layers * shape.experts, COUNT_PERIOD);
-        let parts = parts(ranks, most);
-        parts
-            .map(|part| part.iter().map(|(_, address)| *address).collect())
-            .collect()
+        link.collectors(ranks, shape.layers * shape.experts, COUNT_PERIOD)
     }
 
     /// Returns the pledge of the hold that is among `sends`, if one is.
@@ -106,12 +122,7 @@
             group: self.group.clone(),
             epoch,
             switch: Switch { version, step },
-            sidecars: self
-                .addresses
-                .iter()
-                .map(|(rank, address)| (*rank, *address))
-                .chain([(LEADER, own)])
-                .collect(),
+            sidecars: self.addresses().chain([(LEADER, own)]).collect(),
         })
     }
 
@@ -130,21 +141,15 @@
         self.digested_at = now;
         self.was_open = is_open;
         let requests = self.coordinator.requests();
-        let own = [(LEADER, own)];
-        let sidecars = self
-            .addresses
-            .iter()
-            .map(|(rank, address)| (*rank, *address));
+        let sidecars = self.addresses().chain([(LEADER, own)]);
         let by_instance: HashMap<IpAddr, u32> = sidecars
-            .chain(own)
             .map(|(rank, address)| (address.ip(), requests.get(&rank).copied().unwrap_or(0)))
             .collect();
-        let engines = members.upstreams.iter().filter_map(|engine| {
+        // An engine that started anew under another id is listed twice for a while.
+        let upstreams: BTreeSet<SocketAddr> = members.upstreams.iter().copied().collect();
+        let engines = upstreams.into_iter().filter_map(|engine| {
             let requests = *by_instance.get(&engine.ip())?;
-            Some(Busy {
-                engine: *engine,
-                requests,
-            })
+            Some(Busy { engine, requests })
         });
         Some(Digest {
             service: members.service.clone(),
@@ -159,8 +164,13 @@
         if show.group != self.group {
             return;
         }
-        if let Some(from) = from {
-            self.addresses.insert(show.sight.rank, from);
+        if let Some(address) = from {
+            let failure_domain = show.failure_domain;
+            let seat = Seat {
+                address,
+                failure_domain,
+            };
+            self.seats.insert(show.sight.rank, seat);
         }
         let before = show
             .born
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -10,6 +10,7 @@
 
 use auburnline_core::time::Monotonic;
 use auburnline_duty::clock::Clock;
+use auburnline_lockstep::asking::Asking;
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::coordinator::LEADER;
 use auburnline_lockstep::deputy::Deputy;
@@ -72,7 +73,7 @@
     started: Duration,
     lead: Option<Lead>,
     members: Option<Members>,
-    asked: Option<Monotonic>,
+    asking: Asking,
     leader: Option<Leader>,
     counts: Counts,
     counted: Option<Monotonic>,
@@ -113,7 +114,7 @@
                 .unwrap_or_default(),
             lead: None,
             members: None,
-            asked: None,
+            asking: Asking::default(),
             leader: None,
             counts: Counts::default(),
             counted: None,
@@ -196,6 +197,7 @@
             born: report.born,
             group: report.group,
             sight: report.sight,
+            failure_domain: self.settings.failure_domain.as_str().into(),
             choices,
             held,
         };
@@ -301,6 +303,9 @@
         match message {
             Message::Members(members) => {
                 if members.service == self.settings.service {
+                    if members.is_whole() {
+                        self.asking.hear(members.gateways.len(), now);
+                    }
                     self.members = Some(members);
                 }
             }
--- a/crates/sidecar/src/sidecar/leading.rs
+++ b/crates/sidecar/src/sidecar/leading.rs
@@ -2,7 +2,6 @@
 //! runs, and gives the orders that its lead decides on.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::neighbour::Datagram;
@@ -17,7 +16,6 @@
 use auburnline_lockstep::message::Forward;
 use auburnline_lockstep::message::Forwarded;
 use auburnline_lockstep::message::Lead as LeadWord;
-use auburnline_lockstep::message::Members;
 use auburnline_lockstep::message::Message;
 use auburnline_lockstep::message::Show;
 use auburnline_lockstep::told::Send;
@@ -32,12 +30,6 @@
 use crate::lead::Lead;
 use crate::order::give;
 
-/// Time between two questions who serves the service.
-const ASK_PERIOD: Duration = Duration::from_secs(2);
-/// The same until a gateway has answered: after a loss of all power a group opens within a second, and without
-/// its lead nobody knows its load and its map stays the first one.
-const FIRST_ASK_PERIOD: Duration = Duration::from_millis(200);
-
 /// Bytes that a word to gateways takes for each engine.
 const ENGINE_BYTES: usize = 9;
 
@@ -74,17 +66,9 @@
 
     /// Asks a gateway who serves the service.
     async fn ask(&mut self, now: Monotonic) {
-        let is_known = self.members.as_ref().is_some_and(Members::is_whole);
-        let period = if is_known {
-            ASK_PERIOD
-        } else {
-            FIRST_ASK_PERIOD
-        };
-        let is_due = self.asked.is_none_or(|at| now.saturating_sub(at) >= period);
-        if !is_due {
+        if !self.asking.is_due(now) {
             return;
         }
-        self.asked = Some(now);
         let ask = Datagram::Ask(Ask {
             service: self.settings.service.clone(),
         });
@@ -113,7 +97,9 @@
             }
             return;
         };
-        for part in lead.collectors(&ranks) {
+        let collectors = lead.collectors(ranks.len());
+        let sidecars = lead.sidecars(ranks);
+        for part in parts(&sidecars, collectors) {
             let is_alone = part.len() == 1;
             let collector = part.first().copied().filter(|_| !is_alone);
             let word = LeadWord {
@@ -122,7 +108,7 @@
             };
             let message = Message::Lead(word);
             for address in part {
-                self.tell(&message, address).await;
+                self.tell(&message, *address).await;
             }
         }
     }
@@ -216,10 +202,9 @@
             reports_to: Some(self.settings.peers),
             ..command(lead, send)
         };
-        let ranks = sends.iter().filter_map(|send| lead.address(send.rank));
-        let ranks: Vec<SocketAddr> = ranks.collect();
+        let sidecars = lead.sidecars(sends.iter().map(|send| send.rank));
         self.hasten(send.order);
-        for part in parts(&ranks, hops(ranks.len())) {
+        for part in parts(&sidecars, hops(sidecars.len())) {
             let Some((first, others)) = part.split_first() else {
                 continue;
             };
