--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -18,13 +18,12 @@
 use crate::gateway::Gateway;
 use crate::gateway::NO_UPSTREAM_RETURN;
 use crate::pace;
-use crate::pace::Load;
-use crate::pace::Prediction;
 use crate::real;
 use crate::request::Admission;
-use crate::request::Basis;
 use crate::request::Plan;
 use crate::request::Refusal;
+use crate::room::Room;
+use crate::room::Traffic;
 use crate::route::Engine;
 use crate::upstream::Upstream;
 
@@ -37,9 +36,6 @@
 /// Longest wait of a request while all groups are shut. Callers leave a stream that shows nothing for two seconds, and after
 /// the wait a place has to be found and the prompt read.
 const REFORM_PATIENCE: Duration = Duration::from_millis(1_500);
-/// Streams that a gateway may have in flight, in parts of its share of what a group carries, while no lead tells
-/// the group's load: callers spread unevenly, and what neighbours say is partly missing.
-const UNTOLD_PART: f64 = 1.5;
 /// Shortest and longest time in seconds between two looks whether a full group has room. They differ by chance: if all
 /// gateways let their requests in when the lead tells of room, one pass would have to read all their prompts.
 const LOOKS: (f64, f64) = (0.015, 0.06);
@@ -60,97 +56,6 @@
 /// answers at their usual times of 15 to 60 ms, well within the deadlines of such callers.
 const PLAIN_RETURNS: (f64, f64) = (0.1, 0.3);
 
-/// What runs at a group.
-#[derive(Clone, Copy, Debug, Default)]
-struct Traffic {
-    load: Load,
-    /// Requests in flight of this gateway.
-    own: u32,
-    /// Age of the word of its lead that tells the load; none if there is none that is fresh.
-    told: Option<Duration>,
-}
-
-impl Traffic {
-    /// Takes gateways that were not heard to have as much in flight as those that were; `share` is how many others live for each
-    /// one that was heard. Of 98 gateways one hears some twenty within the age of a count, and took groups for a third as full
-    /// as they were.
-    fn add_silent(&mut self, share: f64) {
-        let others = f64::from(self.load.in_flight.saturating_sub(self.own)) * share;
-        self.load.in_flight = self.own.saturating_add(whole(others));
-    }
-}
-
-/// Room of one group.
-pub(crate) struct Room {
-    pub(crate) group: GroupId,
-    traffic: Traffic,
-    prediction: Prediction,
-    /// This gateway's part of the room, where the lead tells it.
-    allowance: Option<Allowance>,
-    /// Part of its streams that end between two words of the lead.
-    turnover: f64,
-    /// Requests that its ranks run at once.
-    slots: f64,
-    gateways: usize,
-    /// Whether the group is filled for the passes after a shift of demand.
-    is_cautious: bool,
-}
-
-impl Room {
-    /// Returns the streams that the group can carry beyond those in flight; below zero if it is over full.
-    fn places(&self) -> f64 {
-        self.prediction.most - f64::from(self.traffic.load.in_flight)
-    }
-
-    /// Returns the streams that may be sent there until the lead's next word: its places, and those of the streams
-    /// that end by then; none where they would only wait for a slot.
-    fn room(&self) -> f64 {
-        let in_flight = f64::from(self.traffic.load.in_flight);
-        let room = self.places() + in_flight * self.turnover;
-        room.min(self.slots - in_flight)
-    }
-
-    /// Returns the streams that this gateway may weigh the group by when it draws one.
-    fn weight(&self) -> f64 {
-        if self.is_free() { self.room() } else { 0.0 }
-    }
-
-    /// Returns whether one stream more may go there from this gateway.
-    fn is_free(&self) -> bool {
-        if let Some(allowance) = self.allowance {
-            return self.room() > 0.0 && allowance.is_left();
-        }
-        let own = f64::from(self.traffic.own);
-        self.places() > 0.0 && own < self.untold_share().max(1.0)
-    }
-
-    /// Returns the streams that this gateway may have in flight while no lead tells the load.
-    fn untold_share(&self) -> f64 {
-        self.prediction.most * UNTOLD_PART / real(self.gateways)
-    }
-
-    fn basis(&self) -> Basis {
-        Basis {
-            prediction: self.prediction,
-            in_flight: self.traffic.load.in_flight,
-            own: self.traffic.own,
-            gateways: u32::try_from(self.gateways).unwrap_or(u32::MAX),
-            is_cautious: self.is_cautious,
-            told: self.traffic.told,
-            allowance: self.allowance.map(Allowance::requests),
-        }
-    }
-
-    /// Returns why no stream more may go there.
-    fn reason(&self) -> &'static str {
-        if self.room() > 0.0 {
-            "this gateway's share of the group is taken"
-        } else {
-            "the group is full"
-        }
-    }
-}
-
 impl Gateway {
     /// Decides whether a planned request may be sent now.
     pub fn admit(&mut self, plan: &Plan, now: Monotonic) -> Admission {
@@ -338,12 +243,3 @@
         self.paces.get(group)
     }
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "some thousand requests at most, rounded"
-)]
-fn whole(requests: f64) -> u32 {
-    requests.round() as u32
-}
