--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -33,9 +33,6 @@
 /// Shortest and longest time to come back after a refusal for load: a wave of callers that all come
 /// back at once would be refused again, so returns are spread over about the life of a stream.
 const RETURNS: (f64, f64) = (0.2, 1.0);
-/// Time after the start of a gateway for which a group counts as shut until its lead is heard, which takes 0.6 to 0.8 s where all
-/// instances start at once. What is sent before is refused by ranks that stall, twice, and its caller is told to come back.
-const BLIND: Duration = Duration::from_millis(900);
 /// Longest wait of a request while all groups are shut. Callers leave a stream that shows nothing for two seconds, and after
 /// the wait a place has to be found and the prompt read.
 const REFORM_PATIENCE: Duration = Duration::from_millis(1_500);
@@ -52,10 +49,7 @@
 /// other that their groups serve again, and fill them over a few words. Such a request is late already, and a
 /// refusal would use up the return that its caller has.
 const REOPENED_WAIT: Duration = Duration::from_millis(800);
-/// Time for which a caller that came back waits for a place. It is late already and has no return left; at its first event it has
-/// to be there still, two seconds after it asked.
-const RETURNED_WAIT: Duration = Duration::from_millis(800);
-/// Shortest and longest time in seconds between two looks of a request that waited for a group and may come back: longer than for others, so that a place
+/// Shortest and longest time in seconds between two looks of such a request: longer than for others, so that a place
 /// goes to those that can still be in time.
 const LATE_LOOKS: (f64, f64) = (0.06, 0.15);
 /// Shortest and longest time in seconds to come back after upstreams that serve by themselves refused a request: some
@@ -85,12 +79,12 @@
         }
         let reopened = self.shut_at.get(&plan.service).copied();
         let reopened = reopened.filter(|shut_at| *shut_at >= plan.arrived);
-        let usual = plan.arrived + plan.route.objective.mul_f64(WAIT_PART);
-        let (until, looks) = match (reopened, plan.came_back) {
-            (Some(shut_at), false) => (shut_at + REOPENED_WAIT, LATE_LOOKS),
-            (Some(shut_at), true) => (shut_at.max(plan.arrived) + REOPENED_WAIT, LOOKS),
-            (None, true) => (usual.max(plan.arrived + RETURNED_WAIT), LOOKS),
-            (None, false) => (usual, LOOKS),
+        let (until, looks) = match reopened {
+            Some(shut_at) => (shut_at + REOPENED_WAIT, LATE_LOOKS),
+            None => (
+                plan.arrived + plan.route.objective.mul_f64(WAIT_PART),
+                LOOKS,
+            ),
         };
         if now < until {
             let look = self.draw(looks);
@@ -144,9 +138,6 @@
     fn traffic(&self, service: &str, now: Monotonic) -> BTreeMap<GroupId, Traffic> {
         let mut groups: BTreeMap<GroupId, Traffic> = BTreeMap::new();
         for usage in self.pool.usages(service, now) {
-            if now < BLIND && self.groups.of(usage.upstream.address).is_none() {
-                continue;
-            }
             let traffic = groups.entry(self.group_of(usage.upstream)).or_default();
             traffic.load.ranks += 1;
             traffic.load.in_flight = traffic.load.in_flight.saturating_add(usage.requests);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,7 +28,6 @@
 use crate::request::Plan;
 use crate::request::Refusal;
 use crate::request::Request;
-use crate::returns::Returns;
 use crate::route::Route;
 use crate::route::ServiceId;
 use crate::route::Table;
@@ -75,7 +74,6 @@
     pub(crate) allowances: HashMap<GroupId, Allowance>,
     /// When a request last found all groups of a service shut.
     pub(crate) shut_at: HashMap<ServiceId, Monotonic>,
-    returns: Returns,
     budget: Budget<ServiceId, ServiceId>,
     pub(crate) rng: ChaCha8Rng,
     /// Upstreams.
@@ -106,7 +104,6 @@
             allowances: HashMap::new(),
             shut_at: HashMap::new(),
             groups: Groups::default(),
-            returns: Returns::default(),
             budget: Budget::new(shares(&bounds, None)),
             rng: ChaCha8Rng::seed_from_u64(seed),
             pool: Pool::default(),
@@ -131,7 +128,6 @@
         }
         let services = table.services().map(|service| Arc::clone(&service.name));
         self.pool.set_services(services);
-        self.returns.clear();
         self.table = Some(Arc::new(table));
         true
     }
@@ -199,7 +195,6 @@
         let service = self.service(route);
         let engine = table.service(&service).and_then(|service| service.engine);
         let patience = request.patience.unwrap_or(route.timeout).min(route.timeout);
-        let came_back = self.returns.see(&route.name, patience);
         Ok(Plan {
             route: Arc::clone(route),
             service,
@@ -207,7 +202,6 @@
             workspace: if route.is_anonymous { None } else { workspace },
             version: table.version(),
             age,
-            came_back,
             arrived: now,
             due: now + patience,
         })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,6 @@
 pub mod pace;
 pub mod report;
 pub mod request;
-mod returns;
 mod room;
 pub mod route;
 mod share;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -40,8 +40,6 @@
     pub version: u64,
     /// Age of what was known.
     pub age: Duration,
-    /// Whether its caller most likely comes back after a refusal or a broken answer.
-    pub came_back: bool,
     /// When the request arrived.
     pub arrived: Monotonic,
     /// When the final answer is due.
