--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -30,9 +30,6 @@
 /// Part of a request's objective that it may wait for a place: the rest is for reading the prompt and
 /// the first pass.
 const WAIT_PART: f64 = 0.3;
-/// The same where the group has room and only this gateway's share of it is taken: long enough for the next word of the lead,
-/// which brings another share. With many gateways a share is a part of a request, and callers come unevenly.
-const SHARE_WAIT_PART: f64 = 0.5;
 /// Shortest and longest time to come back after a refusal for load: a wave of callers that all come
 /// back at once would be refused again, so returns are spread over about the life of a stream.
 const RETURNS: (f64, f64) = (0.2, 1.0);
@@ -84,14 +81,10 @@
         let reopened = reopened.filter(|shut_at| *shut_at >= plan.arrived);
         let (until, looks) = match reopened {
             Some(shut_at) => (shut_at + REOPENED_WAIT, LATE_LOOKS),
-            None => {
-                let part = if room.room() > 0.0 {
-                    SHARE_WAIT_PART
-                } else {
-                    WAIT_PART
-                };
-                (plan.arrived + plan.route.objective.mul_f64(part), LOOKS)
-            }
+            None => (
+                plan.arrived + plan.route.objective.mul_f64(WAIT_PART),
+                LOOKS,
+            ),
         };
         if now < until {
             let look = self.draw(looks);
