--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -65,6 +65,17 @@
     pub allowance: Option<f64>,
 }
 
+/// Part of the streams that a group carries below which a refusal for load tells of a wrong judgement, not of load.
+const ROOMY_PART: f64 = 2.0 / 3.0;
+
+impl Basis {
+    /// Returns whether the group had plenty of room.
+    #[must_use]
+    pub fn is_roomy(&self) -> bool {
+        f64::from(self.in_flight) < self.prediction.most * ROOMY_PART
+    }
+}
+
 /// A request that is not served; none of these has run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Refusal {
--- a/crates/lockstep/src/layout.rs
+++ b/crates/lockstep/src/layout.rs
@@ -78,19 +78,6 @@
         let ranks = self.0.iter().flatten();
         ranks.map(|held| 1 + 2 * held.len()).sum()
     }
-
-    /// Returns how many experts each rank gets that it does not hold in `before`, over all layers.
-    #[must_use]
-    pub fn new_by_rank(&self, before: &Layout) -> Vec<usize> {
-        let ranks = self.0.first().map_or(0, Vec::len);
-        let mut counts = vec![0; ranks];
-        for (layer, old) in self.0.iter().zip(&before.0) {
-            for (rank, (held, had)) in layer.iter().zip(old).enumerate() {
-                counts[rank] += held.iter().filter(|expert| !had.contains(expert)).count();
-            }
-        }
-        counts
-    }
 }
 
 /// How the experts of one rank in one layer differ from those of another layout.
--- a/crates/lockstep/src/traffic.rs
+++ b/crates/lockstep/src/traffic.rs
@@ -22,6 +22,10 @@
 /// Receivers that are told directly whatever the link, so that few of them never wait for one another.
 const LEAST_DIRECT: usize = 12;
 
+/// Most receivers to which one message is passed on. The root of 340 gateways is 19; a broken message must not make an instance
+/// send thousands.
+pub const MOST_PASSED_ON: usize = 64;
+
 /// Link of an instance.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Link {
--- a/crates/lockstep/tests/all/plan.rs
+++ b/crates/lockstep/tests/all/plan.rs
@@ -32,6 +32,18 @@
     weights.iter().map(|weight| weight / sum).collect()
 }
 
+/// Returns how many experts each rank gets that it does not hold in `before`, over all layers.
+fn new_by_rank(after: &Layout, before: &Layout) -> Vec<usize> {
+    let ranks = after.0.first().map_or(0, Vec::len);
+    let mut counts = vec![0; ranks];
+    for (layer, old) in after.0.iter().zip(&before.0) {
+        for (rank, (held, had)) in layer.iter().zip(old).enumerate() {
+            counts[rank] += held.iter().filter(|expert| !had.contains(expert)).count();
+        }
+    }
+    counts
+}
+
 fn shares() -> Vec<Vec<f64>> {
     vec![skewed(26), skewed(3), skewed(70)]
 }
@@ -98,7 +110,7 @@
 fn no_rank_copies_for_long() {
     let before = initial();
     let plan = plan(&before, &shares(), &SHAPE, &Scope::STEADY, WORK, &[]).expect("a plan");
-    let copies = plan.layout.new_by_rank(&before).into_iter().max();
+    let copies = new_by_rank(&plan.layout, &before).into_iter().max();
     let copies = u32::try_from(copies.unwrap_or(0)).expect("a small number");
     assert_that!(SHAPE.copy * copies, le(Duration::from_millis(450)));
 }
@@ -121,7 +133,7 @@
 }
 
 fn most_copied(layout: &Layout, before: &Layout) -> Duration {
-    let copies = layout.new_by_rank(before).into_iter().max();
+    let copies = new_by_rank(layout, before).into_iter().max();
     LARGE.copy * u32::try_from(copies.unwrap_or(0)).expect("a small number")
 }
 
@@ -163,7 +175,7 @@
         let work = Duration::from_millis(work);
         let plan = plan(&initial, &liked(0), &LARGE, &Scope::REST, work, &[]);
         plan.map_or(0, |plan| {
-            plan.layout.new_by_rank(&initial).iter().sum::<usize>()
+            new_by_rank(&plan.layout, &initial).iter().sum::<usize>()
         })
     };
     assert_that!(copied(4), lt(copied(22)));
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -15,6 +15,7 @@
 use auburnline_lockstep::message::Digest;
 use auburnline_lockstep::message::Forwarded;
 use auburnline_lockstep::message::Message;
+use auburnline_lockstep::traffic::MOST_PASSED_ON;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 use tokio::net::UdpSocket;
@@ -124,7 +125,7 @@
         Ok(Datagram::Forwarded(Forwarded { to, digest })) => {
             take_group(shared, &digest);
             let message = Datagram::Group(digest);
-            for gateway in to {
+            for gateway in to.into_iter().take(MOST_PASSED_ON) {
                 shared.tell(&message, gateway);
             }
         }
--- a/crates/relay/src/tell.rs
+++ b/crates/relay/src/tell.rs
@@ -65,6 +65,9 @@
     );
     drop(gateway);
     counter!("auburnline_refusals_total", "kind" => kind.name()).increment(1);
+    if basis.is_some_and(|basis| basis.is_roomy()) {
+        counter!("auburnline_refusals_with_room_total").increment(1);
+    }
     head::own(&*shared.dialect, id, kind, refusal.retry_after)
 }
 
--- a/crates/sidecar/src/sidecar/hearing.rs
+++ b/crates/sidecar/src/sidecar/hearing.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use auburnline_lockstep::message::Message;
+use auburnline_lockstep::traffic::MOST_PASSED_ON;
 use serde::Serialize;
 
 use super::Leader;
@@ -70,7 +71,7 @@
             Message::Command(command) => self.follow(command, from).await,
             Message::Forward(forward) => {
                 let message = Message::Command(forward.command);
-                for address in forward.to {
+                for address in forward.to.into_iter().take(MOST_PASSED_ON) {
                     self.tell(&message, address).await;
                 }
                 if let Message::Command(command) = message {
