A lead tells collectors to the ranks it knows also while others are silent; idle ranks send no counts

Found on reading the change: while one rank of a large group was out of reach for 1.2 s, as when its instance is frozen, all ranks were told no collector and sent their counts to the lead, three times what its link carries.

--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -89,10 +89,14 @@
         self.seats.get(&rank).map(|seat| seat.address)
     }
 
-    /// Returns the other ranks, once all were heard lately; none before.
-    pub(crate) fn ranks(&self, now: Monotonic) -> Option<Vec<Rank>> {
-        let is_heard = self.coordinator.is_in_reach(now);
-        is_heard.then(|| self.seats.keys().copied().collect())
+    /// Returns whether all ranks were heard lately.
+    pub(crate) fn is_in_reach(&self, now: Monotonic) -> bool {
+        self.coordinator.is_in_reach(now)
+    }
+
+    /// Returns the other ranks that were heard.
+    pub(crate) fn ranks(&self) -> impl Iterator<Item = Rank> {
+        self.seats.keys().copied()
     }
 
     /// Returns the sidecars of some ranks, those of a failure domain together, so that what they pass on to each other or
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -245,6 +245,10 @@
         let before = std::mem::replace(&mut self.counts, counts);
         let mut choices = self.counts.since(&before);
         self.tally.add_to(&mut choices, self.epoch);
+        // An idle group would fill links with zeros.
+        if choices.iter().all(|chosen| *chosen == 0) {
+            choices.clear();
+        }
         choices
     }
 
--- a/crates/sidecar/src/sidecar/leading.rs
+++ b/crates/sidecar/src/sidecar/leading.rs
@@ -77,8 +77,8 @@
         }
     }
 
-    /// Tells the other sidecars who leads, and who collects their counts: those of the group once all were heard, else all
-    /// of the service, since nobody knows yet which of them belong to it.
+    /// Tells the other sidecars who leads, and who collects their counts. Until all ranks were heard, nobody knows which other
+    /// sidecars of the service belong to the group.
     async fn announce(&mut self, word: &LeadWord, now: Monotonic) {
         if now.saturating_sub(self.announced) < SHOW_PERIOD {
             return;
@@ -87,21 +87,9 @@
         let (Some(lead), Some(members)) = (&self.lead, &self.members) else {
             return;
         };
-        let Some(ranks) = lead.ranks(now) else {
-            let port = self.settings.peers.port();
-            let sidecars = members.upstreams.iter();
-            let sidecars = sidecars.map(|upstream| SocketAddr::new(upstream.ip(), port));
-            let message = Message::Lead(word.clone());
-            for address in sidecars.filter(|address| *address != self.settings.peers) {
-                self.tell(&message, address).await;
-            }
-            return;
-        };
-        let collectors = lead.collectors(ranks.len());
-        let sidecars = lead.sidecars(ranks);
-        for part in parts(&sidecars, collectors) {
-            let is_alone = part.len() == 1;
-            let collector = part.first().copied().filter(|_| !is_alone);
+        let known = lead.sidecars(lead.ranks());
+        for part in parts(&known, lead.collectors(known.len())) {
+            let collector = part.first().copied().filter(|_| part.len() > 1);
             let word = LeadWord {
                 collector,
                 ..word.clone()
@@ -111,6 +99,18 @@
                 self.tell(&message, *address).await;
             }
         }
+        if lead.is_in_reach(now) {
+            return;
+        }
+        let port = self.settings.peers.port();
+        let all = members.upstreams.iter();
+        let all = all.map(|upstream| SocketAddr::new(upstream.ip(), port));
+        let is_new =
+            |address: &SocketAddr| *address != self.settings.peers && !known.contains(address);
+        let message = Message::Lead(word.clone());
+        for address in all.filter(is_new) {
+            self.tell(&message, address).await;
+        }
     }
 
     /// Tells gateways of the group: all, or so many as the link bears, in turn, which pass it on to the others.
