--- a/crates/lockstep/tests/all/main.rs
+++ b/crates/lockstep/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod asking;
 mod change;
+mod collecting;
 mod coordinator;
 mod cost;
 mod deputy;
--- a/crates/sidecar/src/sidecar/leading.rs
+++ b/crates/sidecar/src/sidecar/leading.rs
@@ -6,6 +6,7 @@
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::neighbour::Datagram;
 use auburnline_lockstep::change::Order;
+use auburnline_lockstep::collecting::receivers;
 use auburnline_lockstep::coordinator::LEADER;
 use auburnline_lockstep::coordinator::Service;
 use auburnline_lockstep::deputy::DEPUTY;
@@ -88,28 +89,17 @@
             return;
         };
         let known = lead.sidecars(lead.ranks());
-        for part in parts(&known, lead.collectors(known.len())) {
-            let collector = part.first().copied().filter(|_| part.len() > 1);
-            let word = LeadWord {
-                collector,
-                ..word.clone()
-            };
-            let message = Message::Lead(word);
-            for address in part {
-                self.tell(&message, *address).await;
-            }
-        }
-        if lead.is_in_reach(now) {
-            return;
-        }
         let port = self.settings.peers.port();
         let all = members.upstreams.iter();
         let all = all.map(|upstream| SocketAddr::new(upstream.ip(), port));
-        let is_new =
-            |address: &SocketAddr| *address != self.settings.peers && !known.contains(address);
-        let message = Message::Lead(word.clone());
-        for address in all.filter(is_new) {
-            self.tell(&message, address).await;
+        let is_searching = !lead.is_in_reach(now);
+        let unknown = all.filter(|address| is_searching && *address != self.settings.peers);
+        for receiver in receivers(&known, lead.collectors(known.len()), unknown) {
+            let message = Message::Lead(LeadWord {
+                collector: receiver.collector,
+                ..word.clone()
+            });
+            self.tell(&message, receiver.address).await;
         }
     }
 
