--- a/tests/all/retries.rs
+++ b/tests/all/retries.rs
@@ -197,6 +197,10 @@
         deployment.kill(&slot);
         reply.join().expect("a reply")
     });
+    if !matches!(reply, Reply::Whole(_)) {
+        // The entry's log says why there was no further send; it goes with the deployment.
+        deployment.print_logs();
+    }
     (reply, deployment.runs(WORKSPACE, key))
 }
 
