Requests that crash the upstreams that run them are held back

Cause: a request that brings down each engine that begins to run it comes again at any gateway. Each crash stops a group of 24 ranks for seconds, and nothing told one gateway what another one had seen.

Change: a gateway whose upstream breaks off and then refuses a connection takes that as a crash under this request, known by a hash of method, path, key and body. Beats tell crashes to all; the second one is told to 64 gateways at once. After two crashes without an answer in between the request is refused everywhere as not run, for five minutes.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -104,6 +104,8 @@
     Unauthorized = 25,
     /// An order with an older fencing number was refused.
     StaleFence = 26,
+    /// The request crashed the upstreams that ran it.
+    Quarantined = 27,
 }
 
 /// Default time to come back after an overload or a lack of upstreams.
@@ -111,7 +113,7 @@
 
 impl Kind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Kind; 26] = [
+    pub const ALL: [Kind; 27] = [
         Kind::BadRequest,
         Kind::TooLarge,
         Kind::SlowSender,
@@ -138,6 +140,7 @@
         Kind::Internal,
         Kind::Unauthorized,
         Kind::StaleFence,
+        Kind::Quarantined,
     ];
 
     /// Returns this kind's row of the table.
@@ -160,7 +163,9 @@
             Kind::Overloaded | Kind::NotReady | Kind::Unreachable => row(503, NotRun, After(SOON)),
             Kind::Leaving | Kind::StaleRevision => row(503, NotRun, Now),
             Kind::Fenced | Kind::StaleFence => row(409, NotRun, Never),
-            Kind::Maintenance => row(503, NotRun, After(Duration::from_mins(1))),
+            Kind::Maintenance | Kind::Quarantined => {
+                row(503, NotRun, After(Duration::from_mins(1)))
+            }
             Kind::OutcomeUnknown | Kind::Incomplete => row(502, Unknown, After(SOON)),
             Kind::UpstreamFailed => row(502, Ran, Never),
             Kind::Cancelled => row(499, Ran, Never),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::knowledge::Knowledge;
 use crate::neighbour::Roster;
 use crate::pace::Group;
+use crate::quarantine::Quarantine;
 use crate::request::Plan;
 use crate::request::Refusal;
 use crate::request::Request;
@@ -86,6 +87,8 @@
     pub knowledge: Knowledge,
     /// What was read of the store.
     pub spread: Spread,
+    /// Requests that crash what runs them.
+    pub quarantine: Quarantine,
 }
 
 impl Gateway {
@@ -110,6 +113,7 @@
             roster,
             knowledge: Knowledge::new(bounds.revocation),
             spread: Spread::default(),
+            quarantine: Quarantine::default(),
             bounds,
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! process of the system stands beside the caller. [`route`] finds what a request may do,
 //! [`upstream`] who may take it, [`group`] which of them run in lock-step, [`pace`] whether a group can
 //! take it in time, `caution` how far it is filled where demand shifts often, [`report`] what the groups' leads tell of their load,
-//! [`neighbour`] which other gateways live, [`knowledge`] how old the published state may be,
+//! [`neighbour`] which other gateways live, [`quarantine`] which requests crash what runs them, [`knowledge`] how old the published state may be,
 //! [`spread`] who reads the store for whom, and [`event`] cuts streams into whole events.
 //! [`gateway`] joins them. Nothing here sends, reads a clock or knows how a platform spells its
 //! messages.
@@ -20,6 +20,7 @@
 mod member;
 pub mod neighbour;
 pub mod pace;
+pub mod quarantine;
 pub mod report;
 pub mod request;
 mod room;
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -23,6 +23,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::quarantine::Mark;
 use crate::spread;
 use crate::upstream::Counts;
 
@@ -91,6 +92,8 @@
     Answer(spread::Answer),
     /// A configuration that the receiver waits for.
     Configuration(Box<spread::Told>),
+    /// Requests that ran at a crash.
+    Crashes(Vec<Mark>),
 }
 
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -101,7 +101,9 @@
         }
     }
 
-    pub(crate) fn after(mut self, time: Duration) -> Refusal {
+    /// Returns the refusal with a time to come back.
+    #[must_use]
+    pub fn after(mut self, time: Duration) -> Refusal {
         self.retry_after = Some(time);
         self
     }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod neighbour;
 mod pace;
+mod quarantine;
 mod route;
 mod spread;
 mod support;
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -31,6 +31,7 @@
                 let Ok(Ok(body)) = body else {
                     flight.failed();
                     exchange.log_failure("the answer broke off", &flight);
+                    exchange.look_for_crash(&flight).await;
                     if !exchange.may_run_again() {
                         return exchange.give_up("the answer broke off");
                     }
@@ -44,6 +45,7 @@
                     }
                 } else {
                     flight.answered();
+                    exchange.clear();
                 }
                 exchange.log_answer(reply.status.as_u16(), &Pace::default());
                 let headers = head::end_to_end(&reply.headers);
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -22,6 +22,7 @@
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
+use crate::crash;
 use crate::shared::MAX_DATAGRAM_BYTES;
 use crate::shared::Shared;
 use crate::source::Feed;
@@ -81,8 +82,13 @@
     };
     let beats = beat.from.beat;
     let message = Datagram::Beat(beat);
+    let marks = shared.gateway().quarantine.marks(now);
+    let crashes = (!marks.is_empty()).then_some(Datagram::Crashes(marks));
     for target in targets {
         shared.tell(&message, target);
+        if let Some(crashes) = &crashes {
+            shared.tell(crashes, target);
+        }
     }
     let is_awaiting = shared.gateway().spread.awaits_configuration();
     if is_awaiting || beats.is_multiple_of(QUESTION_BEATS) {
@@ -132,6 +138,7 @@
         Ok(Datagram::Question(question)) => shared.answer(question, from),
         Ok(Datagram::Answer(answer)) => Feed(Rc::clone(shared)).hear(answer),
         Ok(Datagram::Configuration(told)) => Feed(Rc::clone(shared)).told(*told),
+        Ok(Datagram::Crashes(marks)) => crash::hear(shared, &marks),
         Err(error) => {
             let cause = error.to_string();
             log::debug!(target: "neighbours", cause = cause.as_str(); "message not understood");
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One request of a caller, from its head to its answer.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use auburnline_core::error::Kind;
@@ -107,9 +108,6 @@
         Ok(plan) => plan,
         Err(refusal) => return refuse(&shared, &call.id, None, &refusal),
     };
-    if let Err(refusal) = admit(&shared, &plan, &call).await {
-        return refuse(&shared, &call.id, Some(&plan), &refusal);
-    }
     let path = head.uri.path_and_query();
     let arrival = Arrival {
         method: head.method,
@@ -118,7 +116,15 @@
         body,
         call,
     };
-    Exchange::new(shared, arrival, plan).run().await
+    let exchange = Exchange::new(shared, arrival, plan);
+    let admitted = match exchange.hold_back() {
+        Some(refusal) => Err(refusal),
+        None => exchange.readmit().await,
+    };
+    match admitted {
+        Ok(()) => exchange.run().await,
+        Err(refusal) => exchange.end(&refusal),
+    }
 }
 
 async fn read(shared: &Shared, body: Incoming) -> Result<Bytes, Kind> {
@@ -204,6 +210,9 @@
 
     /// Sends once, and waits no longer than `patience` for the head of the answer.
     pub(crate) async fn send(&mut self, after: Option<EventId>, patience: Duration) -> Sent {
+        if let Some(refusal) = self.hold_back() {
+            return Sent::Refused(refusal);
+        }
         let now = self.shared.now();
         let choice = self.shared.gateway().assign(&self.plan, &self.tried, now);
         let (choice, group) = match choice {
@@ -212,7 +221,7 @@
         };
         self.log_send(&choice, after);
         let upstream = choice.upstream;
-        let mut flight = Flight::new(Rc::clone(&self.shared), &upstream, group);
+        let mut flight = Flight::new(Rc::clone(&self.shared), Arc::clone(&upstream), group);
         self.tried.push(upstream.id.clone());
         let client = self.shared.client(&upstream);
         let result = match self.request(&client, &upstream.id, after) {
@@ -223,14 +232,14 @@
             Err(failure) => Ok(Err(error_stack::Report::new(failure))),
         };
         match result {
-            Ok(Ok(reply)) => self.began(reply, flight),
+            Ok(Ok(reply)) => self.began(reply, flight).await,
             Ok(Err(report)) => {
                 flight.failed();
-                self.failed(*report.current_context(), &flight)
+                self.failed(*report.current_context(), &flight).await
             }
             Err(_) => {
                 flight.failed();
-                self.failed(Failure::Lost, &flight)
+                self.failed(Failure::Lost, &flight).await
             }
         }
     }
@@ -259,7 +268,7 @@
         Ok(request)
     }
 
-    fn began(&mut self, reply: Reply, mut flight: Flight) -> Sent {
+    async fn began(&mut self, reply: Reply, mut flight: Flight) -> Sent {
         let dialect = &self.shared.dialect;
         match dialect.verdict(reply.status, &reply.headers, self.id()) {
             Verdict::Answer => {
@@ -282,12 +291,12 @@
             }
             Verdict::Foreign => {
                 flight.failed();
-                self.failed(Failure::Malformed, &flight)
+                self.failed(Failure::Malformed, &flight).await
             }
         }
     }
 
-    fn failed(&mut self, failure: Failure, flight: &Flight) -> Sent {
+    async fn failed(&mut self, failure: Failure, flight: &Flight) -> Sent {
         self.log_failure(&failure.to_string(), flight);
         let may_repeat = if failure == Failure::NotSent {
             self.unsent += 1;
@@ -295,6 +304,7 @@
         } else {
             self.sends += 1;
             self.may_have_run = true;
+            self.look_for_crash(flight).await;
             self.may_run_again()
         };
         Sent::Failed { may_repeat }
@@ -307,7 +317,7 @@
 
     /// Asks for leave to send once more what may have run.
     pub(crate) fn may_run_again(&self) -> bool {
-        self.plan.route.kind.is_idempotent() && self.may_repeat()
+        self.plan.route.kind.is_idempotent() && self.hold_back().is_none() && self.may_repeat()
     }
 
     /// Asks for leave to send to one more upstream.
--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -1,10 +1,10 @@
 //! A request in flight at an upstream.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use auburnline_core::id::GroupId;
 use auburnline_core::time::Monotonic;
-use auburnline_gateway::route::ServiceId;
 use auburnline_gateway::upstream::Outcome;
 use auburnline_gateway::upstream::Upstream;
 use auburnline_gateway::upstream::UpstreamId;
@@ -14,22 +14,20 @@
 /// A request in flight; counted at its upstream until it is dropped.
 pub(crate) struct Flight {
     shared: Rc<Shared>,
-    service: ServiceId,
     group: GroupId,
-    upstream: UpstreamId,
+    upstream: Arc<Upstream>,
     began: Monotonic,
     outcome: Outcome,
 }
 
 impl Flight {
     /// Takes over a request that was counted when its upstream was chosen.
-    pub(crate) fn new(shared: Rc<Shared>, upstream: &Upstream, group: GroupId) -> Flight {
+    pub(crate) fn new(shared: Rc<Shared>, upstream: Arc<Upstream>, group: GroupId) -> Flight {
         let began = shared.now();
         Flight {
             shared,
-            service: upstream.service.clone(),
             group,
-            upstream: upstream.id.clone(),
+            upstream,
             began,
             // A drop without a word is a caller that left.
             outcome: Outcome::Cancelled,
@@ -41,8 +39,13 @@
         &self.group
     }
 
-    /// Returns the upstream.
+    /// Returns the upstream's id.
     pub(crate) fn upstream(&self) -> &UpstreamId {
+        &self.upstream.id
+    }
+
+    /// Returns the upstream as it was published when it was chosen.
+    pub(crate) fn target(&self) -> &Upstream {
         &self.upstream
     }
 
@@ -66,7 +69,8 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         let now = self.shared.now();
-        self.shared.gateway().end(&self.upstream, self.outcome, now);
-        self.shared.place(&self.service).notify_one();
+        let upstream = &self.upstream;
+        self.shared.gateway().end(&upstream.id, self.outcome, now);
+        self.shared.place(&upstream.service).notify_one();
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod beats;
 mod callers;
 mod clock;
+mod crash;
 mod dialect;
 mod exchange;
 mod flight;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -108,6 +108,7 @@
                 Next::Break(cause) => {
                     self.flight.failed();
                     self.exchange.log_failure(cause, &self.flight);
+                    self.exchange.look_for_crash(&self.flight).await;
                     self.broke();
                     if !self.resume().await {
                         self.is_over = true;
@@ -173,6 +174,7 @@
     fn end(&mut self) -> Option<Result<Frame<Bytes>, Broken>> {
         self.is_over = true;
         self.flight.answered();
+        self.exchange.clear();
         self.log("complete");
         let rest = self.splitter.rest();
         (!rest.is_empty()).then(|| Ok(Frame::data(rest.into())))
