Streams leave a rank that turned slow, and its lead tells how slow it is

Gateways were told requests times slowness, so that a slow rank without requests still got new ones and its group seemed over full.

Change: a lead tells requests and pace apart. New streams avoid a slow rank; those that run there go on at another rank of the group if all wait more than a tenth of the longest pause for it, with leave from the retry budget. Caution is learned anew when a rank turns slow or is well again.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -143,6 +143,11 @@
             traffic.load.in_flight = traffic.load.in_flight.saturating_add(usage.requests);
             traffic.own += usage.own;
             traffic.told = traffic.told.max(usage.told.map(|load| load.age));
+            let pace = usage.told.map_or(0, |load| load.pace);
+            traffic.load.slowest = traffic.load.slowest.max(pace);
+            if usage.requests > 0 {
+                traffic.load.slowest_busy = traffic.load.slowest_busy.max(pace);
+            }
         }
         let silent = self.silent_share(now);
         let untold = groups.values_mut().filter(|traffic| traffic.told.is_none());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Digest;
 use auburnline_lockstep::message::Members;
+use auburnline_lockstep::sight::slowness;
 use auburnline_retries::budget::Budget;
 use rand::Rng;
 use rand::SeedableRng as _;
@@ -48,6 +49,9 @@
 /// Time to come back to a gateway that knows too little: the caller finds another one.
 const ELSEWHERE_RETURN: Duration = Duration::from_millis(100);
 
+/// Part of the longest pause for which a group may wait in each pass for a slow rank that runs streams. A stream that is
+/// moved has its prompt read anew, which is paid for by all others of its group coming in time.
+const WAITING_PART: f64 = 0.1;
 /// Gateways that a sidecar is told of, within one datagram.
 const MOST_GATEWAYS: usize = 512;
 
@@ -66,6 +70,15 @@
     pub stall: Duration,
 }
 
+/// What the word of a lead changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// Whether its group opened or shut.
+    pub is_changed: bool,
+    /// Whether a rank turned slow.
+    pub has_slowed: bool,
+}
+
 /// All that one gateway decides with.
 pub struct Gateway {
     failure_domain: FailureDomainId,
@@ -264,16 +277,33 @@
         plan: &Plan,
         tried: &[UpstreamId],
         now: Monotonic,
+    ) -> Result<(Choice, GroupId), Refusal> {
+        self.assign_within(None, plan, tried, now)
+    }
+
+    /// Does the same for a stream that moves to another rank of its group, if one is given.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if none is left.
+    pub fn assign_within(
+        &mut self,
+        group: Option<&GroupId>,
+        plan: &Plan,
+        tried: &[UpstreamId],
+        now: Monotonic,
     ) -> Result<(Choice, GroupId), Refusal> {
         let is_new = |upstream: &Upstream| !tried.contains(&upstream.id);
         let mut rng = ChaCha8Rng::from_rng(&mut self.rng);
         let choice = match (plan.engine, plan.route.longest_pause) {
             (Some(engine), Some(longest)) => {
-                let roomy = self.roomy(&plan.service, &engine, longest, now);
-                roomy.and_then(|room| {
-                    let may_take = |upstream: &Upstream| {
-                        is_new(upstream) && self.group_of(upstream) == room.group
-                    };
+                let group = group.cloned().or_else(|| {
+                    let roomy = self.roomy(&plan.service, &engine, longest, now);
+                    roomy.map(|room| room.group)
+                });
+                group.and_then(|group| {
+                    let may_take =
+                        |upstream: &Upstream| is_new(upstream) && self.group_of(upstream) == group;
                     self.choose(plan, Preference::EvenLoad, may_take, now, &mut rng)
                 })
             }
@@ -318,15 +348,37 @@
         }
     }
 
-    /// Takes the word of a group's lead; returns whether the group opened or shut.
-    pub fn hear(&mut self, digest: &Digest, now: Monotonic) -> bool {
-        self.pool.reports.hear(digest, now);
+    /// Takes the word of a group's lead; returns what it changes.
+    pub fn hear(&mut self, digest: &Digest, now: Monotonic) -> Heard {
+        let has_slowed = self.pool.reports.hear(digest, now);
         let is_changed = self.groups.hear(digest, now);
         if is_changed {
             // It forms with the first map, on which passes are longer than those that were seen.
             self.paces.remove(digest.group.as_str());
         }
-        is_changed
+        Heard {
+            is_changed,
+            has_slowed,
+        }
+    }
+
+    /// Returns whether a stream should leave the rank that it runs at: the rank is so slow that all others of its group
+    /// wait for it in each pass, and it may run elsewhere.
+    #[must_use]
+    pub fn is_better_off_elsewhere(
+        &self,
+        plan: &Plan,
+        upstream: &Upstream,
+        now: Monotonic,
+    ) -> bool {
+        let (Some(engine), Some(longest)) = (plan.engine, plan.route.longest_pause) else {
+            return false;
+        };
+        let Some(load) = self.pool.reports.load(upstream.address, now) else {
+            return false;
+        };
+        let waiting = engine.base().mul_f64(slowness(load.pace) - 1.0);
+        waiting > longest.mul_f64(WAITING_PART)
     }
 
     /// Takes how a send ended.
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use auburnline_core::time::Monotonic;
+use auburnline_lockstep::sight::USUAL_PACE;
+use auburnline_lockstep::sight::slowness;
 
 use crate::caution;
 use crate::caution::Caution;
@@ -32,6 +34,8 @@
 const RECENT_TIME: Duration = Duration::from_millis(100);
 /// Pauses beyond this many longest pauses are stalls of a broken rank and tell nothing of load.
 const STALL_PAUSES: f64 = 4.0;
+/// Hundredths by which the slowest rank of a group may differ without being slow anew or well again.
+const PACE_NOISE: u16 = 10;
 /// Fewest requests on a rank, so that a wrong factor never shuts a group.
 const LEAST_PER_RANK: f64 = 1.0;
 
@@ -42,6 +46,10 @@
     pub ranks: u32,
     /// Requests in flight from all gateways.
     pub in_flight: u32,
+    /// Times that the slowest rank takes longer than it should, in hundredths, as far as told.
+    pub slowest: u16,
+    /// The same of the slowest that runs requests: one that runs none has no part of its own in a pass.
+    pub slowest_busy: u16,
 }
 
 /// One prediction, for the log.
@@ -70,6 +78,8 @@
     /// Factor of the newest passes.
     recent: f64,
     caution: Caution,
+    /// Slowest rank while that was learned.
+    slowest: u16,
     seen_at: Option<Monotonic>,
     mean_pass: f64,
 }
@@ -80,6 +90,7 @@
             factor: FIRST_FACTOR,
             recent: FIRST_FACTOR,
             caution: Caution::default(),
+            slowest: USUAL_PACE,
             seen_at: None,
             mean_pass: 0.0,
         }
@@ -96,6 +107,12 @@
         load: Load,
         now: Monotonic,
     ) {
+        let slowest = load.slowest.max(USUAL_PACE);
+        if slowest.abs_diff(self.slowest) > PACE_NOISE {
+            // Passes became as long by a slow rank, or no longer are; they tell nothing of shifts to come.
+            self.slowest = slowest;
+            self.caution = Caution::default();
+        }
         let pause = pause.as_secs_f64();
         if pause > longest.as_secs_f64() * STALL_PAUSES || load.in_flight == 0 {
             return;
@@ -106,7 +123,7 @@
         self.seen_at = Some(now);
         let weight = following(passed, FACTOR_TIME);
         let slope = slope(engine, load.ranks) * f64::from(load.in_flight);
-        let seen = ((pause - base(engine)) / slope).clamp(FACTORS.0, FACTORS.1);
+        let seen = ((pause - base(engine, load)) / slope).clamp(FACTORS.0, FACTORS.1);
         self.factor += (seen - self.factor) * weight;
         self.mean_pass += (pause - self.mean_pass) * weight;
         let weight = following(passed, RECENT_TIME);
@@ -139,12 +156,13 @@
         let longest = longest.as_secs_f64();
         let ranks = f64::from(load.ranks.max(1));
         let places = ranks * f64::from(engine.slots);
-        let most = (longest * TARGET_PART - base(engine)) / slope;
+        let base = base(engine, load);
+        let most = (longest * TARGET_PART - base) / slope;
         let shifted = self.caution.factor().map_or(f64::INFINITY, |factor| {
-            (longest * SHIFTED_PART - base(engine)) / (even * factor)
+            (longest * SHIFTED_PART - base) / (even * factor)
         });
         let most = most.min(shifted).clamp(ranks * LEAST_PER_RANK, places);
-        let pass = base(engine) + slope * f64::from(load.in_flight + 1);
+        let pass = base + slope * f64::from(load.in_flight + 1);
         Prediction {
             most,
             pass: Duration::from_secs_f64(pass),
@@ -158,9 +176,9 @@
     1.0 - (-passed.as_secs_f64() / time.as_secs_f64()).exp()
 }
 
-/// Returns the seconds of a pass without requests.
-fn base(engine: &Engine) -> f64 {
-    engine.base().as_secs_f64()
+/// Returns the seconds of a pass without requests: the slowest one's, for which all others wait.
+fn base(engine: &Engine, load: Load) -> f64 {
+    engine.base().as_secs_f64() * slowness(load.slowest_busy)
 }
 
 /// Returns the seconds that one request adds to a pass if the work lies evenly on the ranks.
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -10,6 +10,7 @@
 
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::message::Digest;
+use auburnline_lockstep::sight::USUAL_PACE;
 
 /// Age from which on a report is not used: two of the lead's words are missing by then.
 const AGE: Duration = Duration::from_millis(600);
@@ -21,6 +22,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Report {
     requests: u32,
+    pace: u16,
     heard: Monotonic,
     /// Own sends before the last report that it may not show.
     carried: u32,
@@ -33,6 +35,8 @@
 pub struct Load {
     /// Requests that run or wait there, those on their way included.
     pub requests: u32,
+    /// Times that it takes longer than it should, in hundredths.
+    pub pace: u16,
     /// Age of the report.
     pub age: Duration,
 }
@@ -42,17 +46,21 @@
 pub struct Reports(HashMap<SocketAddr, Report>);
 
 impl Reports {
-    /// Takes the word of a lead.
-    pub fn hear(&mut self, digest: &Digest, now: Monotonic) {
+    /// Takes the word of a lead; returns whether a rank turned slow.
+    pub fn hear(&mut self, digest: &Digest, now: Monotonic) -> bool {
+        let mut has_slowed = false;
         for busy in &digest.engines {
             let report = self.0.entry(busy.engine).or_default();
             report.requests = busy.requests;
+            has_slowed |= busy.pace > report.pace.max(USUAL_PACE);
+            report.pace = busy.pace;
             report.heard = now;
             report.carried = report.newest / UNSEEN;
             report.newest = 0;
         }
         self.0
             .retain(|_, report| now.saturating_sub(report.heard) < AGE);
+        has_slowed
     }
 
     /// Counts a send.
@@ -70,6 +78,7 @@
         let sent = report.carried + report.newest;
         (age < AGE).then_some(Load {
             requests: report.requests + sent,
+            pace: report.pace,
             age,
         })
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -15,6 +15,7 @@
 
 use auburnline_core::id::FailureDomainId;
 use auburnline_core::time::Monotonic;
+use auburnline_lockstep::sight::slowness;
 use rand::Rng;
 use rand::seq::IteratorRandom as _;
 use serde::Deserialize;
@@ -356,10 +357,15 @@
         now: Monotonic,
     ) -> f64 {
         let slots = f64::from(member.upstream.slots.max(1));
-        let load = f64::from(self.usage(member, now).requests);
+        let usage = self.usage(member, now);
+        let load = f64::from(usage.requests);
         let failures = member.failures(now) * FAILURE_WEIGHT * slots;
         match preference {
-            Preference::EvenLoad => load + failures,
+            Preference::EvenLoad => {
+                // Its own part of a pass is longer even before it runs anything, and all others wait for it.
+                let slowness = usage.told.map_or(1.0, |load| slowness(load.pace));
+                load * slowness + (slowness - 1.0) * slots + failures
+            }
             Preference::ShortestTime => (load + 1.0) * member.slowness(usual, now) + failures,
         }
     }
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -35,6 +35,7 @@
     let busy = |rank| Busy {
         engine: engine(group, rank),
         requests,
+        pace: 100,
     };
     Digest {
         service: "model".to_owned(),
@@ -261,8 +262,63 @@
     let load = Load {
         ranks: u32::from(RANKS),
         in_flight: 0,
+        slowest: 100,
+        slowest_busy: 100,
     };
     let most = |pace: &pace::Group| pace.predict(&ENGINE, millis(120), load).most;
     let first = gateway.pace("g0").cloned().unwrap_or_default();
     assert_that!(most(&first), lt(most(&learned) * 0.9));
 }
+
+/// Lets the lead of a group tell that one of its ranks takes so many hundredths of its time, and runs `requests`.
+fn slowed(gateway: &mut Gateway, pace: u16, requests: u32, now: u64) -> bool {
+    let mut digest = digest(0, 5);
+    digest.engines[7].pace = pace;
+    digest.engines[7].requests = requests;
+    gateway.hear(&digest, millis(now)).has_slowed
+}
+
+/// Pattern: one rank of a group takes twelve times as long for some seconds. In each pass all others wait for what runs
+/// there, so that streams leave it and new ones go to other ranks.
+#[gtest]
+fn streams_leave_a_rank_that_turned_slow_and_no_new_ones_go_there() {
+    let mut gateway = gateway(1);
+    beat(&mut gateway, 2, 1_000);
+    assert_that!(slowed(&mut gateway, 100, 5, 1_000), eq(false));
+    assert_that!(slowed(&mut gateway, 1_200, 5, 1_200), eq(true));
+    // It is told once.
+    assert_that!(slowed(&mut gateway, 1_200, 5, 1_400), eq(false));
+    let plan = ask(&mut gateway, "/draft/", Some("key-1"), 1_400).expect("a plan");
+    let at = |rank| Upstream {
+        address: engine(0, rank),
+        ..upstream("any", "model", State::Ready)
+    };
+    let leaves =
+        |gateway: &Gateway, rank| gateway.is_better_off_elsewhere(&plan, &at(rank), millis(1_400));
+    assert_that!(leaves(&gateway, 7), eq(true));
+    assert_that!(leaves(&gateway, 8), eq(false));
+    let group = "g0".into();
+    let tried = ["rank-0-7".into()];
+    for _ in 0..60 {
+        let moved = gateway.assign_within(Some(&group), &plan, &tried, millis(1_400));
+        let (moved, _) = moved.expect("a rank");
+        assert_that!(moved.upstream.address, not(eq(engine(0, 7))));
+        let (new, _) = gateway.assign(&plan, &[], millis(1_400)).expect("a rank");
+        assert_that!(new.upstream.address, not(eq(engine(0, 7))));
+    }
+}
+
+/// Pattern: a rank is a little slower than others. Moving its streams would cost more than the others wait for them.
+#[gtest]
+fn streams_stay_at_a_rank_that_is_hardly_slow() {
+    let mut gateway = gateway(1);
+    beat(&mut gateway, 2, 1_000);
+    slowed(&mut gateway, 120, 5, 1_000);
+    let plan = ask(&mut gateway, "/draft/", Some("key-1"), 1_000).expect("a plan");
+    let rank = Upstream {
+        address: engine(0, 7),
+        ..upstream("any", "model", State::Ready)
+    };
+    let leaves = gateway.is_better_off_elsewhere(&plan, &rank, millis(1_000));
+    assert_that!(leaves, eq(false));
+}
--- a/crates/gateway/tests/all/pace.rs
+++ b/crates/gateway/tests/all/pace.rs
@@ -11,6 +11,8 @@
     Load {
         ranks: 12,
         in_flight,
+        slowest: 100,
+        slowest_busy: 100,
     }
 }
 
@@ -103,3 +105,51 @@
 fn a_group_that_shifts_rarely_is_filled_for_calm_passes() {
     assert_that!(shifting(10_000), gt(135.0));
 }
+
+/// Pattern: a rank turns slow, all passes are long, and it is well again some seconds later. What was learned of long passes
+/// meanwhile tells nothing of shifts of demand: the group is filled as before at once.
+#[gtest]
+fn a_group_is_filled_again_as_soon_as_its_slow_rank_is_well() {
+    let slow = Load {
+        slowest: 1_200,
+        slowest_busy: 1_200,
+        ..load(100)
+    };
+    let mut group = Group::default();
+    let mut pass = |pause, load, ticks: std::ops::Range<u64>| {
+        for tick in ticks {
+            group.observe(
+                &ENGINE,
+                millis(120),
+                millis(pause),
+                load,
+                millis(tick * 100),
+            );
+        }
+        group.predict(&ENGINE, millis(120), load).most
+    };
+    let before = pass(60, load(100), 0..100);
+    pass(300, slow, 100..200);
+    let after = pass(60, load(100), 200..220);
+    assert_that!(after, gt(0.9 * before));
+}
+
+/// Pattern: the streams of a slow rank left it. It has no part of its own in a pass then, and the group serves as well as
+/// without it.
+#[gtest]
+fn a_slow_rank_that_runs_nothing_leaves_room_for_streams() {
+    let group = group(60, 100);
+    let most = |slowest_busy| {
+        let load = Load {
+            slowest: 1_200,
+            slowest_busy,
+            ..load(100)
+        };
+        group.predict(&ENGINE, millis(120), load).most
+    };
+    assert_that!(
+        most(100),
+        eq(group.predict(&ENGINE, millis(120), load(100)).most)
+    );
+    assert_that!(most(1_200), lt(0.5 * most(100)));
+}
--- a/crates/lockstep/src/coordinator/pulse.rs
+++ b/crates/lockstep/src/coordinator/pulse.rs
@@ -1,7 +1,5 @@
 //! How a group runs, as its coordinator sees it.
 
-use std::collections::BTreeMap;
-
 use auburnline_core::id::Rank;
 
 use crate::coordinator::Coordinator;
@@ -10,15 +8,10 @@
 use crate::told::Pulse;
 
 impl Coordinator {
-    /// Returns the requests that run or wait at each rank; one at a slow rank counts for as much as it takes longer.
-    #[must_use]
-    pub fn requests(&self) -> BTreeMap<Rank, u32> {
-        let sights = self.members.values().map(|member| &member.sight);
-        let requests = sights.map(|sight| {
-            let requests = f64::from(sight.running + sight.waiting) * sight.slowness();
-            (sight.rank, whole(requests))
-        });
-        requests.collect()
+    /// Returns the newest sight of each rank.
+    pub fn sights_by_rank(&self) -> impl Iterator<Item = (Rank, &Sight)> {
+        let members = self.members.iter();
+        members.map(|(rank, member)| (*rank, &member.sight))
     }
 
     /// Returns how many times longer each rank takes than it should.
@@ -58,12 +51,3 @@
 pub(super) fn slowest(slowness: &[f64]) -> f64 {
     slowness.iter().copied().fold(1.0, f64::max)
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "some hundred requests at most, rounded up"
-)]
-fn whole(requests: f64) -> u32 {
-    requests.ceil() as u32
-}
--- a/crates/lockstep/src/message.rs
+++ b/crates/lockstep/src/message.rs
@@ -65,13 +65,15 @@
     }
 }
 
-/// An engine of a group, and the requests that run or wait at it.
+/// An engine of a group, the requests that run or wait at it, and how slow it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Busy {
     /// Address of the engine.
     pub engine: SocketAddr,
     /// Requests.
     pub requests: u32,
+    /// Times that its part of a pass takes longer than it should, in hundredths.
+    pub pace: u16,
 }
 
 /// Word of a lead to gateways: who runs in lock-step, how much, and whether the group serves.
--- a/crates/lockstep/src/sight.rs
+++ b/crates/lockstep/src/sight.rs
@@ -57,6 +57,12 @@
     /// Returns the times that the rank's part of a pass takes longer than it should.
     #[must_use]
     pub fn slowness(&self) -> f64 {
-        f64::from(self.pace.max(USUAL_PACE)) / f64::from(USUAL_PACE)
+        slowness(self.pace)
     }
 }
+
+/// Returns the times that a rank of this pace, in hundredths, takes longer than it should.
+#[must_use]
+pub fn slowness(pace: u16) -> f64 {
+    f64::from(pace.max(USUAL_PACE)) / f64::from(USUAL_PACE)
+}
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -149,8 +149,11 @@
 
 fn take_group(shared: &Shared, digest: &Digest) {
     let now = shared.now();
-    let is_change = shared.gateway().hear(digest, now);
-    if is_change {
+    let heard = shared.gateway().hear(digest, now);
+    if heard.has_slowed {
+        shared.slowed.notify_waiters();
+    }
+    if heard.is_changed {
         let (group, is_open) = (digest.group.as_str(), digest.is_open);
         log::info!(target: "groups", group, is_open, ranks = digest.engines.len(); "heard");
         let service = ServiceId::from(digest.service.as_str());
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use auburnline_core::error::Kind;
+use auburnline_core::id::GroupId;
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::event::EventId;
 use auburnline_gateway::request;
 use auburnline_gateway::request::Admission;
 use auburnline_gateway::request::Plan;
 use auburnline_gateway::request::Refusal;
+use auburnline_gateway::upstream::Upstream;
 use auburnline_gateway::upstream::UpstreamId;
 use auburnline_http::Connection;
 use auburnline_http::Failure;
@@ -210,11 +212,23 @@
 
     /// Sends once, and waits no longer than `patience` for the head of the answer.
     pub(crate) async fn send(&mut self, after: Option<EventId>, patience: Duration) -> Sent {
+        self.send_within(None, after, patience).await
+    }
+
+    /// Sends once to a rank of a group, or of any if none is given.
+    pub(crate) async fn send_within(
+        &mut self,
+        group: Option<&GroupId>,
+        after: Option<EventId>,
+        patience: Duration,
+    ) -> Sent {
         if let Some(refusal) = self.hold_back() {
             return Sent::Refused(refusal);
         }
         let now = self.shared.now();
-        let choice = self.shared.gateway().assign(&self.plan, &self.tried, now);
+        let mut gateway = self.shared.gateway();
+        let choice = gateway.assign_within(group, &self.plan, &self.tried, now);
+        drop(gateway);
         let (choice, group) = match choice {
             Ok(choice) => choice,
             Err(refusal) => return Sent::Refused(refusal),
@@ -227,7 +241,10 @@
         let result = match self.request(&client, &upstream.id, after) {
             Ok(request) => {
                 let sent = client.send_within(request, Connection::Fresh, patience);
-                timeout(patience, sent).await
+                tokio::select! {
+                    sent = timeout(patience, sent) => sent,
+                    () = self.leave_for(&upstream, self.sends + 1) => return self.leave(&flight),
+                }
             }
             Err(failure) => Ok(Err(error_stack::Report::new(failure))),
         };
@@ -268,6 +285,31 @@
         Ok(request)
     }
 
+    /// Waits until an upstream turns so slow that its whole group waits for what runs there, and the request has leave to run
+    /// elsewhere after so many sends; mostly that is never.
+    pub(crate) async fn leave_for(&self, upstream: &Upstream, sends: u32) {
+        loop {
+            self.shared.slowed.notified().await;
+            let now = self.shared.now();
+            let is_better = {
+                let gateway = self.shared.gateway();
+                gateway.is_better_off_elsewhere(&self.plan, upstream, now)
+            };
+            if is_better && self.may_run_after(sends) {
+                return;
+            }
+        }
+    }
+
+    /// Takes a request back from a rank that turned slow before it began to answer.
+    fn leave(&mut self, flight: &Flight) -> Sent {
+        self.log_failure("its rank turned slow before it answered", flight);
+        counter!("auburnline_moved_streams_total").increment(1);
+        self.sends += 1;
+        self.may_have_run = true;
+        Sent::Failed { may_repeat: true }
+    }
+
     async fn began(&mut self, reply: Reply, mut flight: Flight) -> Sent {
         let dialect = &self.shared.dialect;
         match dialect.verdict(reply.status, &reply.headers, self.id()) {
@@ -286,7 +328,7 @@
                 gateway.refused(&self.plan, flight.upstream(), flight.group(), now);
                 drop(gateway);
                 Sent::Failed {
-                    may_repeat: self.may_repeat(),
+                    may_repeat: self.may_repeat(self.sends),
                 }
             }
             Verdict::Foreign => {
@@ -317,12 +359,17 @@
 
     /// Asks for leave to send once more what may have run.
     pub(crate) fn may_run_again(&self) -> bool {
-        self.plan.route.kind.is_idempotent() && self.hold_back().is_none() && self.may_repeat()
+        self.may_run_after(self.sends)
+    }
+
+    fn may_run_after(&self, sends: u32) -> bool {
+        let is_idempotent = self.plan.route.kind.is_idempotent();
+        is_idempotent && self.hold_back().is_none() && self.may_repeat(sends)
     }
 
-    /// Asks for leave to send to one more upstream.
-    fn may_repeat(&self) -> bool {
-        if self.sends >= self.plan.route.max_attempts || self.left().is_zero() {
+    /// Asks for leave to send to one more upstream after so many sends.
+    fn may_repeat(&self, sends: u32) -> bool {
+        if sends >= self.plan.route.max_attempts || self.left().is_zero() {
             return false;
         }
         let now = self.shared.now();
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -52,6 +52,8 @@
     open: Cell<usize>,
     /// Tells the source that there may be something to read.
     pub(crate) news: Notify,
+    /// Tells streams that a rank turned slow.
+    pub(crate) slowed: Notify,
     /// Gateways that asked for changes, and when.
     askers: RefCell<HashMap<SocketAddr, Monotonic>>,
     socket: OnceCell<Rc<UdpSocket>>,
@@ -69,6 +71,7 @@
             left_at: Cell::new(None),
             open: Cell::new(0),
             news: Notify::new(),
+            slowed: Notify::new(),
             askers: RefCell::default(),
             socket: OnceCell::new(),
         }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -4,6 +4,7 @@
 //! run can go on after the last whole one. A stream that can't go on breaks off at the caller too,
 //! so that it never looks complete.
 
+use auburnline_core::id::GroupId;
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::event::EventId;
 use auburnline_gateway::event::Splitter;
@@ -29,7 +30,8 @@
 /// A stream on its way.
 struct Passage {
     exchange: Exchange,
-    body: Incoming,
+    /// Answer of the newest send; none while the stream moves.
+    body: Option<Incoming>,
     flight: Flight,
     splitter: Splitter,
     pace: Pace,
@@ -45,6 +47,8 @@
     End,
     /// A break.
     Break(&'static str),
+    /// The upstream turned so slow that the stream is better off elsewhere.
+    Slow,
 }
 
 /// Serves a request whose answer is a stream.
@@ -81,7 +85,7 @@
     fn new(exchange: Exchange, body: Incoming, flight: Flight, after: Option<EventId>) -> Passage {
         Passage {
             exchange,
-            body,
+            body: Some(body),
             flight,
             splitter: Splitter::after(after),
             pace: Pace::default(),
@@ -105,6 +109,13 @@
             match self.next().await {
                 Next::Events(bytes) => return Some(Ok(Frame::data(bytes))),
                 Next::End => return self.end(),
+                Next::Slow => {
+                    if !self.leave_rank().await {
+                        self.is_over = true;
+                        self.log("broken");
+                        return Some(Err(Broken("no rank took the stream over")));
+                    }
+                }
                 Next::Break(cause) => {
                     self.flight.failed();
                     self.exchange.log_failure(cause, &self.flight);
@@ -124,7 +135,16 @@
     async fn next(&mut self) -> Next {
         loop {
             let left = self.exchange.left();
-            let part = match timeout(left, self.body.next()).await {
+            let Some(body) = &mut self.body else {
+                return Next::Break("no upstream took the stream over");
+            };
+            let part = tokio::select! {
+                part = timeout(left, body.next()) => part,
+                () = self.exchange.leave_for(self.flight.target(), self.exchange.sends) => {
+                    return Next::Slow;
+                }
+            };
+            let part = match part {
                 Ok(Some(Ok(part))) => part,
                 Ok(Some(Err(_))) => return Next::Break("the stream broke off"),
                 Ok(None) => return Next::End,
@@ -180,17 +200,29 @@
         (!rest.is_empty()).then(|| Ok(Frame::data(rest.into())))
     }
 
+    /// Goes on at another rank of the group, so that this one need not wait for its own; returns whether it could.
+    async fn leave_rank(&mut self) -> bool {
+        let group = self.flight.group().clone();
+        self.exchange
+            .log_failure("its rank turned slow, going on at another", &self.flight);
+        counter!("auburnline_moved_streams_total").increment(1);
+        // The upstream stops when its answer is dropped, and the group waits for it no longer.
+        self.body = None;
+        self.go_on(Some(&group)).await
+    }
+
     /// Goes on at another upstream; returns whether it could.
     async fn resume(&mut self) -> bool {
-        if !self.exchange.may_run_again() {
-            return false;
-        }
+        self.exchange.may_run_again() && self.go_on(None).await
+    }
+
+    async fn go_on(&mut self, group: Option<&GroupId>) -> bool {
         let after = self.splitter.last();
         loop {
             let patience = self.exchange.left();
-            match self.exchange.send(after, patience).await {
+            match self.exchange.send_within(group, after, patience).await {
                 Sent::Began(reply, flight) if reply.status.is_success() => {
-                    self.body = reply.body;
+                    self.body = Some(reply.body);
                     self.flight = flight;
                     self.splitter = Splitter::after(after);
                     counter!("auburnline_resumed_streams_total").increment(1);
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -20,6 +20,7 @@
 use auburnline_lockstep::message::Digest;
 use auburnline_lockstep::message::Members;
 use auburnline_lockstep::message::Show;
+use auburnline_lockstep::sight::Sight;
 use auburnline_lockstep::sight::Switch;
 use auburnline_lockstep::told::Note;
 use auburnline_lockstep::told::Send;
@@ -144,16 +145,21 @@
         }
         self.digested_at = now;
         self.was_open = is_open;
-        let requests = self.coordinator.requests();
-        let sidecars = self.addresses().chain([(LEADER, own)]);
-        let by_instance: HashMap<IpAddr, u32> = sidecars
-            .map(|(rank, address)| (address.ip(), requests.get(&rank).copied().unwrap_or(0)))
+        let sidecars: BTreeMap<Rank, SocketAddr> =
+            self.addresses().chain([(LEADER, own)]).collect();
+        let sights = self.coordinator.sights_by_rank();
+        let by_instance: HashMap<IpAddr, &Sight> = sights
+            .filter_map(|(rank, sight)| Some((sidecars.get(&rank)?.ip(), sight)))
             .collect();
         // An engine that started anew under another id is listed twice for a while.
         let upstreams: BTreeSet<SocketAddr> = members.upstreams.iter().copied().collect();
         let engines = upstreams.into_iter().filter_map(|engine| {
-            let requests = *by_instance.get(&engine.ip())?;
-            Some(Busy { engine, requests })
+            let sight = by_instance.get(&engine.ip())?;
+            Some(Busy {
+                engine,
+                requests: sight.running + sight.waiting,
+                pace: sight.pace,
+            })
         });
         Some(Digest {
             service: members.service.clone(),
