Streams stay where all ranks of a group are slow; moving in modules of its own

Cause: read in the code, not played: a stream left a slow rank by the rank's own pace alone, so that in a group whose ranks all turn slow each stream would have moved once for nothing, its prompt read anew. It is now weighed against the quickest rank of the group; the test failed before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,7 +15,6 @@
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Digest;
 use auburnline_lockstep::message::Members;
-use auburnline_lockstep::sight::slowness;
 use auburnline_retries::budget::Budget;
 use rand::Rng;
 use rand::SeedableRng as _;
@@ -49,9 +48,6 @@
 /// Time to come back to a gateway that knows too little: the caller finds another one.
 const ELSEWHERE_RETURN: Duration = Duration::from_millis(100);
 
-/// Part of the longest pause for which a group may wait in each pass for a slow rank that runs streams. A stream that is
-/// moved has its prompt read anew, which is paid for by all others of its group coming in time.
-const WAITING_PART: f64 = 0.1;
 /// Gateways that a sidecar is told of, within one datagram.
 const MOST_GATEWAYS: usize = 512;
 
@@ -362,25 +358,6 @@
         }
     }
 
-    /// Returns whether a stream should leave the rank that it runs at: the rank is so slow that all others of its group
-    /// wait for it in each pass, and it may run elsewhere.
-    #[must_use]
-    pub fn is_better_off_elsewhere(
-        &self,
-        plan: &Plan,
-        upstream: &Upstream,
-        now: Monotonic,
-    ) -> bool {
-        let (Some(engine), Some(longest)) = (plan.engine, plan.route.longest_pause) else {
-            return false;
-        };
-        let Some(load) = self.pool.reports.load(upstream.address, now) else {
-            return false;
-        };
-        let waiting = engine.base().mul_f64(slowness(load.pace) - 1.0);
-        waiting > longest.mul_f64(WAITING_PART)
-    }
-
     /// Takes how a send ended.
     pub fn end(&mut self, id: &str, outcome: Outcome, now: Monotonic) {
         self.pool.end(id, outcome, now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod group;
 pub mod knowledge;
 mod member;
+mod moving;
 pub mod neighbour;
 pub mod pace;
 pub mod quarantine;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -16,6 +16,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::upstream::Upstream;
+
 /// What tells one request from others, whatever attempt of its caller it is.
 pub type Fingerprint = u64;
 
@@ -43,8 +45,14 @@
     parts.fold(0, stable)
 }
 
-/// Short number of one start of an upstream.
-pub type StartTag = u32;
+/// Number of one start of an upstream, which all gateways know it by.
+pub type StartTag = u64;
+
+/// Returns the number of this start of an upstream.
+#[must_use]
+pub fn start_tag(upstream: &Upstream) -> StartTag {
+    stable(upstream.born.unwrap_or(0), upstream.id.as_bytes())
+}
 
 /// What became of one run of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -23,7 +23,6 @@
 
 use crate::address;
 use crate::member::Member;
-use crate::quarantine::StartTag;
 use crate::report;
 use crate::report::Reports;
 use crate::route::ServiceId;
@@ -75,15 +74,6 @@
     pub born: Option<u64>,
 }
 
-impl Upstream {
-    /// Returns the short number by which gateways tell each other of this start of it.
-    #[must_use]
-    pub fn start_tag(&self) -> StartTag {
-        let born = self.born.unwrap_or(0);
-        short(born, &self.id)
-    }
-}
-
 /// How an exchange with an upstream ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
@@ -100,11 +90,7 @@
 /// Returns the short number by which gateways tell each other of an upstream.
 #[must_use]
 pub fn tag(id: &str) -> u32 {
-    short(0, id)
-}
-
-fn short(seed: u64, id: &str) -> u32 {
-    let hash = auburnline_core::hash::stable(seed, id.as_bytes());
+    let hash = auburnline_core::hash::stable(0, id.as_bytes());
     u32::try_from(hash >> 32).unwrap_or(u32::MAX)
 }
 
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -322,3 +322,22 @@
     let leaves = gateway.is_better_off_elsewhere(&plan, &rank, millis(1_000));
     assert_that!(leaves, eq(false));
 }
+
+/// Pattern: all ranks of a group turn slow together. No stream is better off elsewhere.
+#[gtest]
+fn streams_stay_where_all_ranks_are_slow() {
+    let mut gateway = gateway(1);
+    beat(&mut gateway, 2, 1_000);
+    let mut digest = digest(0, 5);
+    for busy in &mut digest.engines {
+        busy.pace = 400;
+    }
+    gateway.hear(&digest, millis(1_000));
+    let plan = ask(&mut gateway, "/draft/", Some("key-1"), 1_000).expect("a plan");
+    let rank = Upstream {
+        address: engine(0, 7),
+        ..upstream("any", "model", State::Ready)
+    };
+    let leaves = gateway.is_better_off_elsewhere(&plan, &rank, millis(1_000));
+    assert_that!(leaves, eq(false));
+}
--- a/crates/gateway/tests/all/quarantine.rs
+++ b/crates/gateway/tests/all/quarantine.rs
@@ -14,6 +14,7 @@
 use auburnline_gateway::quarantine::Mark;
 use auburnline_gateway::quarantine::Quarantine;
 use auburnline_gateway::quarantine::fingerprint;
+use auburnline_gateway::quarantine::start_tag;
 use auburnline_gateway::upstream::State;
 use auburnline_gateway::upstream::Upstream;
 use googletest::prelude::*;
@@ -27,7 +28,7 @@
 
 const REQUEST: Fingerprint = 7;
 
-fn crashed(upstreams: &[u32], at: Monotonic) -> Quarantine {
+fn crashed(upstreams: &[u64], at: Monotonic) -> Quarantine {
     let mut quarantine = Quarantine::default();
     for upstream in upstreams {
         quarantine.crashed(REQUEST, *upstream, at);
@@ -123,7 +124,7 @@
         born: Some(2),
         ..first.clone()
     };
-    let quarantine = crashed(&[first.start_tag(), again.start_tag()], millis(100));
+    let quarantine = crashed(&[start_tag(&first), start_tag(&again)], millis(100));
     expect_that!(is_held(&quarantine, millis(100)), eq(true));
 }
 
@@ -194,8 +195,7 @@
                 let gateway = self.rng.random_range(0..self.gateways.len());
                 let gateway = &mut self.gateways[gateway];
                 if gateway.held_for(REQUEST, now).is_none() {
-                    let upstream = u32::try_from(tick).expect("small");
-                    gateway.crashed(REQUEST, upstream, now);
+                    gateway.crashed(REQUEST, tick, now);
                     crashes.push(now);
                 }
             }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -12,6 +12,7 @@
 use auburnline_gateway::quarantine::Fingerprint;
 use auburnline_gateway::quarantine::Mark;
 use auburnline_gateway::quarantine::fingerprint;
+use auburnline_gateway::quarantine::start_tag;
 use auburnline_gateway::request::Refusal;
 use metrics::counter;
 use tokio::net::TcpStream;
@@ -58,7 +59,7 @@
         let mut gateway = self.shared.gateway();
         let is_held = gateway
             .quarantine
-            .crashed(request, upstream.start_tag(), now);
+            .crashed(request, start_tag(upstream), now);
         drop(gateway);
         log::info!(
             target: "crashes",
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -12,7 +12,7 @@
 use auburnline_gateway::request::Admission;
 use auburnline_gateway::request::Plan;
 use auburnline_gateway::request::Refusal;
-use auburnline_gateway::upstream::Upstream;
+use auburnline_gateway::upstream::Choice;
 use auburnline_gateway::upstream::UpstreamId;
 use auburnline_http::Connection;
 use auburnline_http::Failure;
@@ -225,11 +225,7 @@
         if let Some(refusal) = self.hold_back() {
             return Sent::Refused(refusal);
         }
-        let now = self.shared.now();
-        let mut gateway = self.shared.gateway();
-        let choice = gateway.assign_within(group, &self.plan, &self.tried, now);
-        drop(gateway);
-        let (choice, group) = match choice {
+        let (choice, group) = match self.assign(group) {
             Ok(choice) => choice,
             Err(refusal) => return Sent::Refused(refusal),
         };
@@ -261,6 +257,12 @@
         }
     }
 
+    fn assign(&self, group: Option<&GroupId>) -> Result<(Choice, GroupId), Refusal> {
+        let now = self.shared.now();
+        let mut gateway = self.shared.gateway();
+        gateway.assign_within(group, &self.plan, &self.tried, now)
+    }
+
     fn request(
         &self,
         client: &auburnline_http::Client,
@@ -285,31 +287,6 @@
         Ok(request)
     }
 
-    /// Waits until an upstream turns so slow that its whole group waits for what runs there, and the request has leave to run
-    /// elsewhere after so many sends; mostly that is never.
-    pub(crate) async fn leave_for(&self, upstream: &Upstream, sends: u32) {
-        loop {
-            self.shared.slowed.notified().await;
-            let now = self.shared.now();
-            let is_better = {
-                let gateway = self.shared.gateway();
-                gateway.is_better_off_elsewhere(&self.plan, upstream, now)
-            };
-            if is_better && self.may_run_after(sends) {
-                return;
-            }
-        }
-    }
-
-    /// Takes a request back from a rank that turned slow before it began to answer.
-    fn leave(&mut self, flight: &Flight) -> Sent {
-        self.log_failure("its rank turned slow before it answered", flight);
-        counter!("auburnline_moved_streams_total").increment(1);
-        self.sends += 1;
-        self.may_have_run = true;
-        Sent::Failed { may_repeat: true }
-    }
-
     async fn began(&mut self, reply: Reply, mut flight: Flight) -> Sent {
         let dialect = &self.shared.dialect;
         match dialect.verdict(reply.status, &reply.headers, self.id()) {
@@ -362,7 +339,8 @@
         self.may_run_after(self.sends)
     }
 
-    fn may_run_after(&self, sends: u32) -> bool {
+    /// Asks the same for a request that was sent so many times.
+    pub(crate) fn may_run_after(&self, sends: u32) -> bool {
         let is_idempotent = self.plan.route.kind.is_idempotent();
         is_idempotent && self.hold_back().is_none() && self.may_repeat(sends)
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod flight;
 mod head;
+mod moving;
 mod run;
 mod settings;
 mod shared;
