--- a/crates/lockstep/src/plan.rs
+++ b/crates/lockstep/src/plan.rs
@@ -100,7 +100,7 @@
         let ranks = held.len();
         let sum: f64 = shares.iter().sum();
         let mean = sum / real(ranks.max(1));
-        let outlook = Outlook::steady(shares).slowed(slowness).with_empty_places();
+        let outlook = outlook(shares, slowness);
         let path = search::improve(&start, ranks, outlook, searched);
         Draft {
             start,
@@ -255,6 +255,16 @@
     }
 }
 
+/// Returns what the search of a layer works for. Only a slow rank is worth an empty place: else one more replica evens loads.
+fn outlook<'a>(shares: &'a [f64], slowness: &'a [f64]) -> Outlook<'a> {
+    let outlook = Outlook::steady(shares).slowed(slowness);
+    if slowness.iter().any(|times| *times > 1.0) {
+        outlook.with_empty_places()
+    } else {
+        outlook
+    }
+}
+
 /// Returns a layer with all places filled: an empty one repeats the rank's least chosen expert, and is free to be
 /// replaced.
 fn padded(held: &[Vec<Expert>], shares: &[f64], places: usize) -> Layer {
