Words of leads are counted with the pace of each engine

Cause: read in the diff. A word tells two bytes more for each engine since it tells paces; what a link bears of them was reckoned with the old size.

--- a/crates/gateway/src/moving.rs
+++ b/crates/gateway/src/moving.rs
@@ -10,6 +10,7 @@
 /// Part of the longest pause for which a group may wait in each pass for a slow rank that runs streams. A stream that is
 /// moved has its prompt read anew, which is paid for by all others of its group coming in time.
 const WAITING_PART: f64 = 0.1;
+
 impl Gateway {
     /// Returns whether a stream should leave the rank that it runs at: the rank is so much slower than others of its group
     /// that these wait for it in each pass.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -257,6 +257,7 @@
         }
     }
 
+    /// Chooses where the next send goes.
     fn assign(&self, group: Option<&GroupId>) -> Result<(Choice, GroupId), Refusal> {
         let now = self.shared.now();
         let mut gateway = self.shared.gateway();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -216,6 +216,7 @@
         self.exchange.may_run_again() && self.go_on(None).await
     }
 
+    /// Sends the request once more, for the events after the last whole one; returns whether another answer began.
     async fn go_on(&mut self, group: Option<&GroupId>) -> bool {
         let after = self.splitter.last();
         loop {
--- a/crates/sidecar/src/sidecar/leading.rs
+++ b/crates/sidecar/src/sidecar/leading.rs
@@ -32,7 +32,7 @@
 use crate::order::give;
 
 /// Bytes that a word to gateways takes for each engine.
-const ENGINE_BYTES: usize = 9;
+const ENGINE_BYTES: usize = 11;
 
 impl<E: Engine> Sidecar<E> {
     pub(super) async fn lead(&mut self, show: Show) {
