Limits that upstreams name are read, told to other gateways and logged

What on-call could not tell: whether a gateway reads an upstream's rate limit at all. Each answer's limit is decoded once in the adapter into a typed value, kept in a book per start of an upstream (an answer ends a limit only if its request was sent after the limit was named), told to other gateways with the beats, newest word first, and logged: target=limits msg=named or ended with rate and who told it; msg=send bears the limit of its upstream. Nothing acts on it yet.

Cost where no upstream names a limit: one look-up in an empty map an answer, no message.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Digest;
 use auburnline_lockstep::message::Members;
+use auburnline_quota::book::Book;
 use auburnline_retries::budget::Budget;
 use rand::Rng;
 use rand::SeedableRng as _;
@@ -98,6 +99,8 @@
     pub spread: Spread,
     /// Requests that crash what runs them.
     pub quarantine: Quarantine,
+    /// Rate limits that upstreams named.
+    pub(crate) limits: Book,
 }
 
 impl Gateway {
@@ -123,6 +126,7 @@
             knowledge: Knowledge::new(bounds.revocation),
             spread: Spread::default(),
             quarantine: Quarantine::default(),
+            limits: Book::default(),
             bounds,
         }
     }
@@ -305,10 +309,11 @@
             }
             _ => self.choose(plan, Preference::ShortestTime, is_new, now, &mut rng),
         };
-        let Some(choice) = choice else {
+        let Some(mut choice) = choice else {
             let refusal = Refusal::of(ErrorKind::Unreachable, "no upstream is left");
             return Err(refusal.after(NO_UPSTREAM_RETURN));
         };
+        choice.limit = self.limit(&choice.upstream, now).map(|limit| limit.rate);
         self.pool.begin(&choice.upstream.id);
         if tried.is_empty() {
             self.budget.first(now, &plan.service, &plan.service);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! process of the system stands beside the caller. [`route`] finds what a request may do,
 //! [`upstream`] who may take it, [`group`] which of them run in lock-step, [`pace`] whether a group can
 //! take it in time, `caution` how far it is filled where demand shifts often, [`report`] what the groups' leads tell of their load,
-//! [`neighbour`] which other gateways live, [`quarantine`] which requests crash what runs them, [`knowledge`] how old the published state may be,
+//! [`neighbour`] which other gateways live, [`quarantine`] which requests crash what runs them, [`limit`] which rates upstreams take, [`knowledge`] how old the published state may be,
 //! [`spread`] who reads the store for whom, and [`event`] cuts streams into whole events.
 //! [`gateway`] joins them. Nothing here sends, reads a clock or knows how a platform spells its
 //! messages.
@@ -17,6 +17,7 @@
 pub mod gateway;
 pub mod group;
 pub mod knowledge;
+pub mod limit;
 mod member;
 mod moving;
 pub mod neighbour;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -5,6 +5,8 @@
 
 use auburnline_core::time::Monotonic;
 
+use crate::quarantine::StartTag;
+use crate::quarantine::start_tag;
 use crate::upstream::Outcome;
 use crate::upstream::State;
 use crate::upstream::Upstream;
@@ -26,6 +28,7 @@
 pub(crate) struct Member {
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) tag: u32,
+    pub(crate) start: StartTag,
     pub(crate) in_flight: u32,
     failures: f64,
     failed_at: Monotonic,
@@ -40,6 +43,7 @@
     pub(crate) fn new(upstream: Upstream) -> Member {
         Member {
             tag: tag(&upstream.id),
+            start: start_tag(&upstream),
             upstream: Arc::new(upstream),
             in_flight: 0,
             failures: 0.0,
@@ -59,6 +63,7 @@
     /// Takes its entry anew; a start that is not told this time is the one that was told before.
     pub(crate) fn renew(&mut self, mut upstream: Upstream) {
         upstream.born = upstream.born.or(self.upstream.born);
+        self.start = start_tag(&upstream);
         self.upstream = Arc::new(upstream);
         self.is_missing = false;
     }
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -18,6 +18,7 @@
 use auburnline_membership::discovery;
 use auburnline_membership::discovery::Candidate;
 use auburnline_membership::discovery::Offer;
+use auburnline_quota::book::Notice;
 use rand::Rng;
 use rand::seq::IteratorRandom as _;
 use serde::Deserialize;
@@ -94,6 +95,8 @@
     Configuration(Box<spread::Told>),
     /// Requests that ran at a crash.
     Crashes(Vec<Mark>),
+    /// Rate limits that upstreams named.
+    Limits(Vec<Notice>),
 }
 
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -16,6 +16,7 @@
 use auburnline_core::id::FailureDomainId;
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::sight::slowness;
+use auburnline_quota::Rate;
 use rand::Rng;
 use rand::seq::IteratorRandom as _;
 use serde::Deserialize;
@@ -23,6 +24,7 @@
 
 use crate::address;
 use crate::member::Member;
+use crate::quarantine::StartTag;
 use crate::report;
 use crate::report::Reports;
 use crate::route::ServiceId;
@@ -116,6 +118,8 @@
     pub told: Option<Duration>,
     /// Upstreams that could have been chosen.
     pub candidates: usize,
+    /// Rate limit that the upstream named.
+    pub limit: Option<Rate>,
 }
 
 /// What runs at one upstream.
@@ -320,6 +324,7 @@
             in_flight: usage.requests,
             told: usage.told.map(|load| load.age),
             candidates: candidates.len(),
+            limit: None,
         })
     }
 
@@ -373,6 +378,12 @@
         }
     }
 
+    /// Returns all upstreams that are known, with the numbers of their starts.
+    pub(crate) fn starts(&self) -> impl Iterator<Item = (StartTag, &Arc<Upstream>)> {
+        let members = self.members.values();
+        members.map(|member| (member.start, &member.upstream))
+    }
+
     /// Returns all upstreams that are known.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.members.values().map(|member| &member.upstream)
--- /dev/null
+++ b/crates/quota/tests/all/book.rs
@@ -0,0 +1,109 @@
+//! Limits in force, as answers and other gateways tell them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use auburnline_quota::Rate;
+use auburnline_quota::UpstreamTag;
+use auburnline_quota::book::Book;
+use auburnline_quota::book::LEAST_RATE;
+use auburnline_quota::book::MEMORY;
+use auburnline_quota::book::MOST_NOTICES;
+use auburnline_quota::book::Teller;
+use googletest::prelude::*;
+
+const UPSTREAM: UpstreamTag = 7;
+
+fn millis(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+fn other() -> SocketAddr {
+    "10.0.0.2:7005".parse().expect("an address")
+}
+
+fn named(rate: Rate, at: u64) -> Book {
+    let mut book = Book::default();
+    book.answered(UPSTREAM, Some(rate), millis(at - 1), millis(at));
+    book
+}
+
+fn rate(book: &Book) -> Option<Rate> {
+    book.limit(UPSTREAM, millis(0)).map(|limit| limit.rate)
+}
+
+#[gtest]
+fn a_limit_holds_from_the_answer_that_names_it_until_one_that_does_not() {
+    let mut book = named(2.5, 100);
+    expect_that!(rate(&book), some(eq(2.5)));
+    book.answered(UPSTREAM, None, millis(150), millis(200));
+    expect_that!(rate(&book), none());
+}
+
+/// Guards against a limit that is lifted by an answer that its upstream made before it named the limit.
+#[gtest]
+fn an_answer_to_a_request_sent_before_the_limit_was_named_does_not_end_it() {
+    let mut book = named(2.5, 100);
+    book.answered(UPSTREAM, None, millis(90), millis(200));
+    expect_that!(rate(&book), some(eq(2.5)));
+}
+
+#[gtest]
+fn gateways_learn_of_limits_from_each_other_and_the_newest_word_wins() {
+    let mut first = named(2.0, 100);
+    let second = named(1.0, 300).notices(millis(300));
+    let news = first.hear(&second, other(), millis(350));
+    expect_that!(news, len(eq(1)));
+    expect_that!(rate(&first), some(eq(1.0)));
+    let limit = first.limit(UPSTREAM, millis(400)).expect("a limit");
+    expect_that!(limit.teller, eq(Teller::Gateway(other())));
+    expect_that!(limit.age, eq(millis(50)));
+    let old = named(9.0, 100).notices(millis(400));
+    expect_that!(first.hear(&old, other(), millis(400)), is_empty());
+}
+
+#[gtest]
+fn an_ended_limit_is_not_brought_back_by_older_news() {
+    let mut book = named(2.0, 100);
+    let older = named(2.0, 110).notices(millis(300));
+    book.answered(UPSTREAM, None, millis(150), millis(200));
+    book.hear(&older, other(), millis(300));
+    expect_that!(rate(&book), none());
+    book.forget(|_| true, millis(300));
+    expect_that!(book.is_empty(), eq(false));
+    book.forget(|_| true, millis(300) + MEMORY);
+    expect_that!(book.is_empty(), eq(true));
+}
+
+#[gtest]
+fn a_gateway_that_just_started_takes_a_limit_older_than_itself() {
+    let notices = named(2.0, 100).notices(millis(50_000));
+    let mut book = Book::default();
+    book.hear(&notices, other(), millis(10));
+    expect_that!(rate(&book), some(eq(2.0)));
+}
+
+#[gtest]
+fn a_limit_of_nothing_leaves_what_tells_that_it_ended() {
+    expect_that!(rate(&named(0.0, 100)), some(eq(LEAST_RATE)));
+}
+
+#[gtest]
+fn all_limits_are_told_in_turn() {
+    let mut book = Book::default();
+    let count = 3 * u64::try_from(MOST_NOTICES).expect("a small number");
+    for upstream in 0..count {
+        book.answered(upstream, Some(1.0), millis(1), millis(2));
+    }
+    let mut told: Vec<_> = (0..4).flat_map(|_| book.notices(millis(3))).collect();
+    told.sort_by_key(|notice| notice.upstream);
+    told.dedup_by_key(|notice| notice.upstream);
+    expect_that!(told, len(eq(3 * MOST_NOTICES)));
+}
+
+#[gtest]
+fn limits_of_upstreams_that_are_gone_are_forgotten() {
+    let mut book = named(2.0, 100);
+    book.forget(|_| false, millis(200));
+    expect_that!(book.is_empty(), eq(true));
+}
--- /dev/null
+++ b/crates/quota/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Rate limits that upstreams name.
+
+mod book;
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -23,6 +23,7 @@
 use tokio::time::interval;
 
 use crate::crash;
+use crate::limit;
 use crate::shared::MAX_DATAGRAM_BYTES;
 use crate::shared::Shared;
 use crate::source::Feed;
@@ -84,11 +85,12 @@
     let message = Datagram::Beat(beat);
     let marks = shared.gateway().quarantine.marks(now);
     let crashes = (!marks.is_empty()).then_some(Datagram::Crashes(marks));
+    let notices = shared.gateway().limit_notices(now);
+    let limits = (!notices.is_empty()).then_some(Datagram::Limits(notices));
+    let messages = [Some(message), crashes, limits];
     for target in targets {
-        shared.tell(&message, target);
-        if let Some(crashes) = &crashes {
-            shared.tell(crashes, target);
-        }
+        let present = messages.iter().flatten();
+        present.for_each(|message| shared.tell(message, target));
     }
     let is_awaiting = shared.gateway().spread.awaits_configuration();
     if is_awaiting || beats.is_multiple_of(QUESTION_BEATS) {
@@ -139,6 +141,7 @@
         Ok(Datagram::Answer(answer)) => Feed(Rc::clone(shared)).hear(answer),
         Ok(Datagram::Configuration(told)) => Feed(Rc::clone(shared)).told(*told),
         Ok(Datagram::Crashes(marks)) => crash::hear(shared, &marks),
+        Ok(Datagram::Limits(notices)) => limit::hear(shared, &notices, from),
         Err(error) => {
             let cause = error.to_string();
             log::debug!(target: "neighbours", cause = cause.as_str(); "message not understood");
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -9,6 +9,7 @@
 
 use auburnline_core::error::Kind;
 use auburnline_gateway::event::EventId;
+use auburnline_quota::Rate;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Uri;
@@ -52,6 +53,17 @@
     Foreign,
 }
 
+/// What the head of an upstream's answer says of its rate limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Limit {
+    /// It has none.
+    Nothing,
+    /// It takes so many requests a second from all gateways together.
+    Rate(Rate),
+    /// It names one that can't be understood.
+    Malformed,
+}
+
 /// A caller's question which gateways to use.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Question {
@@ -74,6 +86,9 @@
     /// Reads what an upstream's answer says about the attempt `id`.
     fn verdict(&self, status: http::StatusCode, headers: &HeaderMap, id: &str) -> Verdict;
 
+    /// Reads the rate limit that the head of an upstream's answer names.
+    fn limit(&self, headers: &HeaderMap) -> Limit;
+
     /// Adds to the headers of an answer of the gateway's own.
     fn own_answer(&self, headers: &mut HeaderMap, id: &str, retry_after: Option<Duration>);
 
--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -45,10 +45,15 @@
     }
 
     /// Returns the upstream as it was published when it was chosen.
-    pub(crate) fn target(&self) -> &Upstream {
+    pub(crate) fn target(&self) -> &Arc<Upstream> {
         &self.upstream
     }
 
+    /// Returns when it was sent.
+    pub(crate) fn began(&self) -> Monotonic {
+        self.began
+    }
+
     /// Takes that the upstream answered.
     pub(crate) fn answered(&mut self) {
         let took = self.shared.now().saturating_sub(self.began);
--- a/crates/relay/src/tell.rs
+++ b/crates/relay/src/tell.rs
@@ -93,6 +93,7 @@
             after:?,
             in_flight = choice.in_flight,
             told_ms:? = choice.told.map(millis),
+            limit:? = choice.limit,
             score = choice.score,
             candidates = choice.candidates,
             left_ms = millis(self.left()),
