--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -26,6 +26,7 @@
 use crate::room::Traffic;
 use crate::route::Engine;
 use crate::upstream::Upstream;
+use crate::upstream::UpstreamId;
 
 /// Part of a request's objective that it may wait for a place: the rest is for reading the prompt and
 /// the first pass.
@@ -67,6 +68,9 @@
             let refusal = Refusal::of(ErrorKind::Unreachable, "no upstream takes work");
             return Admission::Refuse(refusal.after(NO_UPSTREAM_RETURN));
         }
+        if let Some(refusal) = self.at_limit(plan, &[], &[], now) {
+            return Admission::Refuse(refusal);
+        }
         let (Some(engine), Some(longest)) = (plan.engine, plan.route.longest_pause) else {
             return Admission::Go(None);
         };
@@ -109,8 +113,42 @@
         Refusal::of(ErrorKind::Unreachable, reason).after(after)
     }
 
+    /// Refuses a request of which all upstreams that it could go to are at their limits; says when to come back.
+    pub(crate) fn at_limit(
+        &mut self,
+        plan: &Plan,
+        tried: &[UpstreamId],
+        denied: &[UpstreamId],
+        now: Monotonic,
+    ) -> Option<Refusal> {
+        if self.limits.is_idle() {
+            return None;
+        }
+        let mut opens: Option<Monotonic> = None;
+        for usage in self.pool.usages(&plan.service, now) {
+            let upstream = usage.upstream;
+            let is_shut = self.groups.is_shut(&self.group_of(upstream), now);
+            if is_shut || tried.contains(&upstream.id) {
+                continue;
+            }
+            let open_at = self.limits.open_at(upstream, now);
+            let open_at = open_at.or_else(|| denied.contains(&upstream.id).then_some(now))?;
+            opens = Some(opens.map_or(open_at, |first| first.min(open_at)));
+        }
+        let closed_for = opens?.saturating_sub(now);
+        let returns = if plan.engine.is_some() {
+            RETURNS
+        } else {
+            PLAIN_RETURNS
+        };
+        let after = closed_for + self.draw(returns);
+        let mut refusal = Refusal::of(ErrorKind::Overloaded, "the upstreams' limits are reached");
+        refusal.is_at_limit = true;
+        Some(refusal.after(after))
+    }
+
     /// Draws a time in seconds between two bounds.
-    fn draw(&mut self, (least, most): (f64, f64)) -> Duration {
+    pub(crate) fn draw(&mut self, (least, most): (f64, f64)) -> Duration {
         Duration::from_secs_f64(self.rng.random_range(least..most))
     }
 
@@ -140,6 +178,7 @@
         for usage in self.pool.usages(service, now) {
             let traffic = groups.entry(self.group_of(usage.upstream)).or_default();
             traffic.load.ranks += 1;
+            traffic.has_open_rank |= self.limits.is_open(usage.upstream, now);
             traffic.load.in_flight = traffic.load.in_flight.saturating_add(usage.requests);
             traffic.own += usage.own;
             traffic.told = traffic.told.max(usage.told.map(|load| load.age));
@@ -190,6 +229,9 @@
         let gateways = self.roster.live(now);
         let mut rooms = Vec::new();
         for (group, traffic) in self.traffic(service, now) {
+            if !traffic.has_open_rank {
+                continue;
+            }
             let pace = self.paces.entry(group.clone()).or_default();
             let prediction = pace.predict(engine, longest, traffic.load);
             let mut room = Room {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,7 +15,6 @@
 use auburnline_lockstep::message::Ask;
 use auburnline_lockstep::message::Digest;
 use auburnline_lockstep::message::Members;
-use auburnline_quota::book::Book;
 use auburnline_retries::budget::Budget;
 use rand::Rng;
 use rand::SeedableRng as _;
@@ -24,6 +23,7 @@
 use crate::allowance::Allowance;
 use crate::group::Groups;
 use crate::knowledge::Knowledge;
+use crate::limit::Limits;
 use crate::neighbour::Roster;
 use crate::pace::Group;
 use crate::quarantine::Quarantine;
@@ -100,7 +100,7 @@
     /// Requests that crash what runs them.
     pub quarantine: Quarantine,
     /// Rate limits that upstreams named.
-    pub(crate) limits: Book,
+    pub(crate) limits: Limits,
 }
 
 impl Gateway {
@@ -126,7 +126,7 @@
             knowledge: Knowledge::new(bounds.revocation),
             spread: Spread::default(),
             quarantine: Quarantine::default(),
-            limits: Book::default(),
+            limits: Limits::default(),
             bounds,
         }
     }
@@ -293,36 +293,75 @@
         tried: &[UpstreamId],
         now: Monotonic,
     ) -> Result<(Choice, GroupId), Refusal> {
-        let is_new = |upstream: &Upstream| !tried.contains(&upstream.id);
+        let choice = self.choose_within(group, plan, tried, &[], now)?;
+        let group = self.begin(plan, &choice, tried.is_empty(), now);
+        Ok((choice, group))
+    }
+
+    /// Chooses the upstream of the next send, in a group if one is given, and counts nothing yet. Those whose limits `denied`
+    /// this send are left out.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if none is left.
+    pub fn choose_within(
+        &mut self,
+        group: Option<&GroupId>,
+        plan: &Plan,
+        tried: &[UpstreamId],
+        denied: &[UpstreamId],
+        now: Monotonic,
+    ) -> Result<Choice, Refusal> {
         let mut rng = ChaCha8Rng::from_rng(&mut self.rng);
-        let choice = match (plan.engine, plan.route.longest_pause) {
-            (Some(engine), Some(longest)) => {
-                let group = group.cloned().or_else(|| {
-                    let roomy = self.roomy(&plan.service, &engine, longest, now);
-                    roomy.map(|room| room.group)
-                });
-                group.and_then(|group| {
-                    let may_take =
-                        |upstream: &Upstream| is_new(upstream) && self.group_of(upstream) == group;
-                    self.choose(plan, Preference::EvenLoad, may_take, now, &mut rng)
-                })
+        let engine = plan.engine.zip(plan.route.longest_pause);
+        let group = match (engine, group) {
+            (Some((engine, longest)), None) => {
+                let room = self.roomy(&plan.service, &engine, longest, now);
+                room.map(|room| room.group)
+            }
+            (_, group) => group.cloned(),
+        };
+        let may_take = |upstream: &Upstream| {
+            let is_left = !tried.contains(&upstream.id) && !denied.contains(&upstream.id);
+            is_left && self.limits.is_open(upstream, now)
+        };
+        let choice = match (engine, group) {
+            (Some(_), Some(group)) => {
+                let may_take =
+                    |upstream: &Upstream| may_take(upstream) && self.group_of(upstream) == group;
+                self.choose(plan, Preference::EvenLoad, may_take, now, &mut rng)
             }
-            _ => self.choose(plan, Preference::ShortestTime, is_new, now, &mut rng),
+            (Some(_), None) => None,
+            (None, _) => self.choose(plan, Preference::ShortestTime, may_take, now, &mut rng),
         };
         let Some(mut choice) = choice else {
+            if let Some(refusal) = self.at_limit(plan, tried, denied, now) {
+                return Err(refusal);
+            }
             let refusal = Refusal::of(ErrorKind::Unreachable, "no upstream is left");
             return Err(refusal.after(NO_UPSTREAM_RETURN));
         };
         choice.limit = self.limit(&choice.upstream, now).map(|limit| limit.rate);
+        Ok(choice)
+    }
+
+    /// Counts a request at the upstream that was chosen for it; returns the upstream's group.
+    pub fn begin(
+        &mut self,
+        plan: &Plan,
+        choice: &Choice,
+        is_first: bool,
+        now: Monotonic,
+    ) -> GroupId {
         self.pool.begin(&choice.upstream.id);
-        if tried.is_empty() {
+        if is_first {
             self.budget.first(now, &plan.service, &plan.service);
         }
         let group = self.group_of(&choice.upstream);
         if let Some(allowance) = self.allowances.get_mut(&group) {
             allowance.spend();
         }
-        Ok((choice, group))
+        group
     }
 
     fn choose(
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -1,21 +1,47 @@
-//! Rate limits that upstreams name, as a gateway learns and tells them.
+//! Rate limits that upstreams name, as a gateway learns, tells and keeps them.
+//!
+//! A request to an upstream with a limit needs a permit of the limit's home. Where that is denied, this gateway leaves the
+//! upstream alone until the home may permit another request, and takes the next best one.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use auburnline_core::hash::stable;
 use auburnline_core::time::Monotonic;
 use auburnline_quota::Rate;
 use auburnline_quota::book;
+use auburnline_quota::book::Book;
 use auburnline_quota::book::Limit;
+use auburnline_quota::book::MOST_NOTICES;
 use auburnline_quota::book::Notice;
 use auburnline_quota::book::Teller;
+use auburnline_quota::home::Ask;
+use auburnline_quota::home::Home;
+use auburnline_quota::home::Permit;
+use auburnline_quota::home::Reply;
+use auburnline_quota::loan::Lender;
+use auburnline_quota::loan::Loan;
+use auburnline_quota::loan::Sign;
+use rand::Rng as _;
 
 use crate::gateway::Gateway;
 use crate::quarantine::StartTag;
 use crate::quarantine::start_tag;
 use crate::upstream::Upstream;
 
+/// Time for which an upstream is left alone after its limit's home did not reply.
+const SILENT_RETURN: Duration = Duration::from_millis(500);
+/// Shortest and longest factor of the time to ask again, so that gateways that were denied together don't ask
+/// together.
+const RETURN_FACTORS: (f64, f64) = (1.0, 1.5);
+/// Beats after which shares are lent anew: some times within a lease, since messages are lost.
+const LOAN_BEATS: u64 = 2;
+/// Shortest time to ask again: a round trip between failure domains.
+const LEAST_RETURN: Duration = Duration::from_millis(10);
+
 /// A limit that was named, changed or ended, for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub struct News {
@@ -27,14 +53,103 @@
     pub teller: Teller,
 }
 
+/// Whether a request may be sent to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Consent {
+    /// It may.
+    Granted,
+    /// It may not.
+    Denied,
+    /// The limit's home has to be asked.
+    Ask {
+        /// Address of the home.
+        home: SocketAddr,
+        /// Question.
+        ask: Ask,
+    },
+}
+
+/// An upstream at which requests are limited, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limited {
+    /// Upstream.
+    pub upstream: Arc<Upstream>,
+    /// Limit.
+    pub limit: Limit,
+    /// Address of the home that permits requests.
+    pub home: SocketAddr,
+}
+
+/// All that a gateway knows of limits.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Limits {
+    book: Book,
+    lender: Lender,
+    home: Home,
+    /// Until when upstreams are left alone.
+    closed: HashMap<StartTag, Monotonic>,
+    /// Questions so far.
+    asks: u64,
+}
+
+impl Limits {
+    /// Returns whether nothing was heard of any limit.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.book.is_empty()
+    }
+
+    /// Returns whether an upstream may be asked for or sent to.
+    pub(crate) fn is_open(&self, upstream: &Upstream, now: Monotonic) -> bool {
+        self.open_at(upstream, now).is_none()
+    }
+
+    /// Returns until when an upstream is left alone; none if it is open.
+    pub(crate) fn open_at(&self, upstream: &Upstream, now: Monotonic) -> Option<Monotonic> {
+        if self.closed.is_empty() {
+            return None;
+        }
+        let until = self.closed.get(&start_tag(upstream)).copied();
+        until.filter(|until| now < *until)
+    }
+
+    /// Opens an upstream whose limit ended or changed.
+    fn note(&mut self, news: book::News) {
+        self.closed.remove(&news.upstream);
+    }
+
+    fn rate(&self, upstream: StartTag, now: Monotonic) -> Option<Rate> {
+        self.book.limit(upstream, now).map(|limit| limit.rate)
+    }
+}
+
+/// Returns the key by which gateways agree on the home of an upstream's limit.
+fn home_key(upstream: StartTag) -> String {
+    format!("limit/{upstream:x}")
+}
+
 impl Gateway {
     /// Returns the limit that an upstream named.
     #[must_use]
     pub fn limit(&self, upstream: &Upstream, now: Monotonic) -> Option<Limit> {
-        if self.limits.is_empty() {
+        if self.limits.is_idle() {
             return None;
         }
-        self.limits.limit(start_tag(upstream), now)
+        self.limits.book.limit(start_tag(upstream), now)
+    }
+
+    /// Returns the upstreams of a service that have a limit, at most `most`.
+    #[must_use]
+    pub fn limited(&self, service: &str, most: usize, now: Monotonic) -> Vec<Limited> {
+        let starts = self.pool.starts();
+        let starts = starts.filter(|(_, upstream)| *upstream.service == *service);
+        let limited = starts.filter_map(|(start, upstream)| {
+            Some(Limited {
+                upstream: Arc::clone(upstream),
+                limit: self.limits.book.limit(start, now)?,
+                home: self.roster.home(&home_key(start), now).entry.peers,
+            })
+        });
+        limited.take(most).collect()
     }
 
     /// Takes what an answer says of its upstream's limit; its request was sent at `sent`.
@@ -45,7 +160,9 @@
         sent: Monotonic,
         now: Monotonic,
     ) -> Option<News> {
-        let news = self.limits.answered(start_tag(upstream), rate, sent, now)?;
+        let start = start_tag(upstream);
+        let news = self.limits.book.answered(start, rate, sent, now)?;
+        self.limits.note(news);
         Some(News {
             upstream: Arc::clone(upstream),
             rate: news.rate,
@@ -64,8 +181,9 @@
         let known: HashMap<StartTag, &Arc<Upstream>> = self.pool.starts().collect();
         let is_known = |notice: &&Notice| known.contains_key(&notice.upstream);
         let notices: Vec<Notice> = notices.iter().filter(is_known).copied().collect();
-        let heard = self.limits.hear(&notices, from, now);
+        let heard = self.limits.book.hear(&notices, from, now);
         let news = heard.into_iter().filter_map(|news: book::News| {
+            self.limits.note(news);
             Some(News {
                 upstream: Arc::clone(known.get(&news.upstream)?),
                 rate: news.rate,
@@ -75,14 +193,138 @@
         news.collect()
     }
 
-    /// Returns what to tell other gateways of limits, and forgets those of upstreams that are gone.
+    /// Takes that a beat is sent; returns what to tell other gateways of limits, and forgets those of upstreams that are
+    /// gone.
     pub fn limit_notices(&mut self, now: Monotonic) -> Vec<Notice> {
-        if self.limits.is_empty() {
+        self.limits.home.sent(self.roster.me().beat, now);
+        self.limits.closed.retain(|_, until| now < *until);
+        self.limits.lender.forget(now);
+        if self.limits.is_idle() {
             return Vec::new();
         }
         let known: HashMap<StartTag, _> = self.pool.starts().collect();
         self.limits
+            .book
             .forget(|upstream| known.contains_key(&upstream), now);
-        self.limits.notices(now)
+        self.limits.book.notices(now)
+    }
+
+    /// Lends this gateway's share of each limit to the limit's home; returns the loans to send.
+    pub fn loans(&mut self, now: Monotonic) -> Vec<(SocketAddr, Loan)> {
+        let mut loans: BTreeMap<SocketAddr, Loan> = BTreeMap::new();
+        if self.limits.is_idle() || !self.roster.me().beat.is_multiple_of(LOAN_BEATS) {
+            return Vec::new();
+        }
+        let lender = stable(0, self.roster.me().instance.as_bytes());
+        let fleet = u32::try_from(self.roster.most()).unwrap_or(u32::MAX);
+        for notice in self.limits.book.in_force(now) {
+            let home = self.roster.home(&home_key(notice.upstream), now);
+            let sign = Sign {
+                home: &home.entry.instance,
+                incarnation: home.entry.incarnation,
+                beat: home.entry.beat,
+                heard: home.heard,
+            };
+            if !self.limits.lender.lend(notice.upstream, &sign, now) {
+                continue;
+            }
+            let loan = loans.entry(home.entry.peers).or_insert_with(|| Loan {
+                lender,
+                fleet,
+                incarnation: sign.incarnation,
+                beat: sign.beat,
+                limits: Vec::new(),
+            });
+            loan.limits.push(notice);
+        }
+        if let Some(own) = loans.remove(&self.roster.me().peers) {
+            self.borrow(&own, now);
+        }
+        let loans = loans.into_iter();
+        loans.flat_map(|(home, loan)| parts(home, &loan)).collect()
+    }
+
+    /// Takes shares that another gateway lends this one; returns what it tells of limits.
+    pub fn hear_loan(&mut self, loan: &Loan, from: SocketAddr, now: Monotonic) -> Vec<News> {
+        let news = self.hear_limits(&loan.limits, from, now);
+        if loan.incarnation == self.roster.me().incarnation {
+            self.borrow(loan, now);
+        }
+        news
+    }
+
+    fn borrow(&mut self, loan: &Loan, now: Monotonic) {
+        let Limits { book, home, .. } = &mut self.limits;
+        let rate = |upstream| book.limit(upstream, now).map(|limit| limit.rate);
+        home.borrow(loan, rate, now);
+    }
+
+    /// Says whether a request may be sent to an upstream, or who has to be asked.
+    pub fn consent(&mut self, upstream: &Upstream, now: Monotonic) -> Consent {
+        if self.limit(upstream, now).is_none() {
+            return Consent::Granted;
+        }
+        let start = start_tag(upstream);
+        let home = self.roster.home(&home_key(start), now);
+        if home.is_me {
+            let permit = self.permit(start, now);
+            return self.take_permit(start, permit, now);
+        }
+        let home = home.entry.peers;
+        self.limits.asks += 1;
+        let number = self.limits.asks;
+        let ask = Ask {
+            number,
+            upstream: start,
+        };
+        Consent::Ask { home, ask }
+    }
+
+    /// Replies to a gateway that asks whether it may send a request.
+    pub fn reply(&mut self, ask: Ask, now: Monotonic) -> Reply {
+        Reply {
+            number: ask.number,
+            upstream: ask.upstream,
+            permit: self.permit(ask.upstream, now),
+        }
+    }
+
+    fn permit(&mut self, upstream: StartTag, now: Monotonic) -> Permit {
+        // A home that knows of no limit has no shares of it either, and says so.
+        let rate = self.limits.rate(upstream, now).unwrap_or(0.0);
+        self.limits.home.permit(upstream, rate, now)
+    }
+
+    /// Takes the home's word on a request; none if the home did not reply.
+    pub fn take_reply(&mut self, ask: Ask, permit: Option<Permit>, now: Monotonic) -> Consent {
+        let silent = Permit::Denied {
+            retry_ms: u32::try_from(SILENT_RETURN.as_millis()).unwrap_or(u32::MAX),
+        };
+        self.take_permit(ask.upstream, permit.unwrap_or(silent), now)
     }
+
+    fn take_permit(&mut self, upstream: StartTag, permit: Permit, now: Monotonic) -> Consent {
+        let Permit::Denied { retry_ms } = permit else {
+            return Consent::Granted;
+        };
+        let (least, most) = RETURN_FACTORS;
+        let factor = self.rng.random_range(least..most);
+        let retry = Duration::from_millis(retry_ms.into()).mul_f64(factor);
+        let until = now + retry.max(LEAST_RETURN);
+        self.limits.closed.insert(upstream, until);
+        Consent::Denied
+    }
+}
+
+/// Splits a loan into messages that stay within one packet.
+fn parts(home: SocketAddr, loan: &Loan) -> Vec<(SocketAddr, Loan)> {
+    let parts = loan.limits.chunks(MOST_NOTICES);
+    let parts = parts.map(|limits| {
+        let part = Loan {
+            limits: limits.to_vec(),
+            ..*loan
+        };
+        (home, part)
+    });
+    parts.collect()
 }
--- a/crates/gateway/src/moving.rs
+++ b/crates/gateway/src/moving.rs
@@ -27,6 +27,9 @@
         let Some(load) = self.pool.reports.load(upstream.address, now) else {
             return false;
         };
+        if !self.has_other_rank(plan, upstream, now) {
+            return false;
+        }
         let group = self.group_of(upstream);
         let ranks = self.pool.usages(&plan.service, now);
         let ranks = ranks.filter(|usage| self.group_of(usage.upstream) == group);
@@ -35,4 +38,16 @@
         let slower = slowness(load.pace) - slowness(least);
         engine.base().mul_f64(slower) > longest.mul_f64(WAITING_PART)
     }
+
+    /// Returns whether another rank of the same group takes streams without a limit: one that leaves its rank and is denied
+    /// by all others would break off.
+    fn has_other_rank(&self, plan: &Plan, upstream: &Upstream, now: Monotonic) -> bool {
+        let group = self.group_of(upstream);
+        let mut others = self.pool.usages(&plan.service, now);
+        others.any(|usage| {
+            let other = usage.upstream;
+            let is_other = other.id != upstream.id && self.group_of(other) == group;
+            is_other && self.limit(other, now).is_none()
+        })
+    }
 }
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use auburnline_core::hash::rendezvous;
 use auburnline_core::id::FailureDomainId;
 use auburnline_core::id::Incarnation;
 use auburnline_core::id::InstanceId;
@@ -19,6 +20,8 @@
 use auburnline_membership::discovery::Candidate;
 use auburnline_membership::discovery::Offer;
 use auburnline_quota::book::Notice;
+use auburnline_quota::home;
+use auburnline_quota::loan::Loan;
 use rand::Rng;
 use rand::seq::IteratorRandom as _;
 use serde::Deserialize;
@@ -33,6 +36,9 @@
 pub const PERIOD: Duration = Duration::from_millis(300);
 /// Time without news after which a gateway counts as gone: five beats, since single ones are lost.
 pub const LIFE: Duration = Duration::from_millis(1_600);
+/// Time without news after which a gateway is not the home of a limit: longer than [`LIFE`], since all have to agree on the
+/// home, and in a fleet of hundreds news of one that lives may be older. Those that lend to it hear from it directly.
+const HOME_LIFE: Duration = Duration::from_secs(3);
 /// Gateways that one beat is sent to, so that the cost of a gateway does not grow with the fleet.
 const FANOUT: usize = 6;
 /// Gateways that one beat tells of besides its sender; the message stays within one datagram.
@@ -97,6 +103,23 @@
     Crashes(Vec<Mark>),
     /// Rate limits that upstreams named.
     Limits(Vec<Notice>),
+    /// Shares of limits that the sender lends the receiver.
+    Loan(Loan),
+    /// Question whether a request may be sent to an upstream with a limit.
+    LimitAsk(home::Ask),
+    /// Reply to it.
+    LimitReply(home::Reply),
+}
+
+/// The gateway that permits requests to an upstream with a limit.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Home<'a> {
+    /// As it told of itself last.
+    pub(crate) entry: &'a Entry,
+    /// When that was heard.
+    pub(crate) heard: Monotonic,
+    /// Whether it is this gateway.
+    pub(crate) is_me: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -109,6 +132,10 @@
     fn lives(&self, now: Monotonic) -> bool {
         now.saturating_sub(self.heard) < LIFE
     }
+
+    fn may_be_home(&self, now: Monotonic) -> bool {
+        now.saturating_sub(self.heard) < HOME_LIFE
+    }
 }
 
 /// News of a gateway, for the log.
@@ -197,6 +224,32 @@
         (others.map(|entry| entry.peers).collect(), is_reader)
     }
 
+    /// Returns the live gateway that comes first for `key`, among those that take requests if there are any.
+    pub(crate) fn home(&self, key: &str, now: Monotonic) -> Home<'_> {
+        let me = Home {
+            entry: &self.me,
+            heard: now,
+            is_me: true,
+        };
+        let others = self.others.values();
+        let others = others.filter(|known| known.may_be_home(now));
+        let others = others.map(|known| Home {
+            entry: &known.entry,
+            heard: known.heard,
+            is_me: false,
+        });
+        let rank = |home: &Home<'_>| {
+            let score = rendezvous(key, &home.entry.instance);
+            (home.entry.is_ready, score)
+        };
+        others.chain([me]).max_by_key(rank).unwrap_or(me)
+    }
+
+    /// Returns this gateway as it tells of itself.
+    pub(crate) const fn me(&self) -> &Entry {
+        &self.me
+    }
+
     /// Takes a beat of another gateway.
     pub fn hear(&mut self, beat: &Beat, now: Monotonic) -> Vec<News> {
         let mut news = Vec::new();
@@ -258,6 +311,16 @@
         }
     }
 
+    /// Returns the last beat without news of others, for a gateway that lends to this one.
+    #[must_use]
+    pub fn word(&self, counts: Counts) -> Beat {
+        Beat {
+            from: self.me.clone(),
+            counts,
+            others: Vec::new(),
+        }
+    }
+
     /// Returns where to send the next beat.
     pub fn targets(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let live = self.others.values().filter(|known| known.lives(now));
--- /dev/null
+++ b/crates/gateway/tests/all/fleet.rs
@@ -0,0 +1,498 @@
+//! Rate limits that upstreams name, kept by whole fleets.
+//!
+//! All gateways run their own decisions on their own clocks; messages between them take a few milliseconds and are
+//! sometimes lost. Gateways start, stop, freeze and are cut off from each other while callers want far more of a few upstreams
+//! than these take. What reaches each upstream is counted over all gateways.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnline_core::time::Monotonic;
+use auburnline_gateway::Gateway;
+use auburnline_gateway::limit::Consent;
+use auburnline_gateway::neighbour::Beat;
+use auburnline_gateway::neighbour::Entry;
+use auburnline_gateway::neighbour::PERIOD;
+use auburnline_gateway::neighbour::Roster;
+use auburnline_gateway::request::Plan;
+use auburnline_gateway::upstream::State;
+use auburnline_gateway::upstream::Upstream;
+use auburnline_gateway::upstream::UpstreamId;
+use auburnline_quota::Rate;
+use auburnline_quota::book::Notice;
+use auburnline_quota::home::Ask;
+use auburnline_quota::home::Reply;
+use auburnline_quota::loan::Loan;
+use googletest::prelude::*;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::gateway::BOUNDS;
+use crate::gateway::ask;
+use crate::support::millis;
+use crate::support::table;
+use crate::support::upstream;
+
+/// Time on the common clock of a run.
+type Time = Duration;
+
+/// Time at which upstreams begin to name their limits: all gateways know each other by then.
+const NAMED: Time = Duration::from_secs(4);
+/// Time from then until the limits hold.
+const STABILITY: Duration = Duration::from_secs(3);
+/// Time after a gateway passed on a limit from which on its requests count.
+const TOLD: Duration = Duration::from_millis(500);
+/// Span over which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+const END: Time = Duration::from_secs(16);
+/// Time from a request to its answer's head.
+const ANSWER: Duration = Duration::from_millis(25);
+/// Messages that are lost, of 100.
+const LOST: u32 = 1;
+/// Longest time that a message is on its way, in microseconds.
+const LATENCY: u64 = 4_000;
+
+/// Message between two gateways.
+#[derive(Clone)]
+enum Message {
+    Beat(Beat),
+    Limits(Vec<Notice>),
+    Loan(Loan),
+    Ask(Ask),
+    Reply(Reply),
+}
+
+/// What happens to a gateway.
+enum Event {
+    Tick,
+    Request,
+    Deliver(usize, Message),
+    /// The answer of an upstream to a request that was sent at the given time.
+    Answer(usize, Time),
+    Fault(Fault),
+}
+
+/// What goes wrong with a gateway.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// It ends, and starts again after this time.
+    Restart(Duration),
+    /// It stands still for this time.
+    Freeze(Duration),
+    /// It reaches no other gateway for this time; requests go on.
+    Cut(Duration),
+    /// It hears the others, and is not heard by them for this time.
+    OneWay(Duration),
+}
+
+struct Node {
+    gateway: Gateway,
+    started: Time,
+    /// Number of this start; events of an earlier one are void.
+    life: u32,
+    plan: Plan,
+    frozen_until: Time,
+    deaf_until: Time,
+    mute_until: Time,
+    /// When it first passed on each upstream's limit.
+    told: Vec<Option<Time>>,
+    waiting: BTreeMap<u64, (Ask, usize)>,
+}
+
+struct World {
+    nodes: Vec<Option<Node>>,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    events: BTreeMap<u64, (usize, u32, Event)>,
+    number: u64,
+    rng: ChaCha8Rng,
+    upstreams: Vec<Arc<Upstream>>,
+    rate: Rate,
+    /// Mean time between two requests at one gateway.
+    pause: Duration,
+    /// Requests that reached each limited upstream, with their gateways.
+    arrived: Vec<Vec<(Time, usize)>>,
+    lives: u32,
+    /// When half of the gateways don't reach the other half.
+    split: Range<Time>,
+}
+
+/// Upstreams that name a limit; one more takes everything.
+const LIMITED: usize = 2;
+
+fn peers(number: usize) -> SocketAddr {
+    let port = u16::try_from(number).expect("a small fleet") + 1;
+    ([10, 0, 2, 1], port).into()
+}
+
+fn number(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 1
+}
+
+impl World {
+    /// Starts a fleet in which callers want some times more of the limited upstreams than these take.
+    fn start(count: usize, rate: Rate, seed: u64) -> World {
+        let upstreams = (0..=LIMITED).map(|number| {
+            let id = format!("desk-{number}");
+            Arc::new(Upstream {
+                address: ([10, 0, 0, 1], u16::try_from(number).expect("few") + 1).into(),
+                ..upstream(&id, "desk", State::Ready)
+            })
+        });
+        let gateways = u32::try_from(count).expect("a small fleet");
+        let mut world = World {
+            nodes: (0..count).map(|_| None).collect(),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            number: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            upstreams: upstreams.collect(),
+            rate,
+            pause: Duration::from_secs_f64(f64::from(gateways) / (rate * 40.0).max(60.0)),
+            arrived: vec![Vec::new(); LIMITED],
+            lives: 0,
+            split: Time::ZERO..Time::ZERO,
+        };
+        for node in 0..count {
+            world.boot(node, Time::ZERO);
+        }
+        world
+    }
+
+    fn boot(&mut self, node: usize, now: Time) {
+        self.lives += 1;
+        let me = Entry {
+            instance: format!("front-{node}").into(),
+            incarnation: u64::from(self.lives),
+            beat: 0,
+            failure_domain: "north".into(),
+            callers: ([10, 0, 1, 1], peers(node).port()).into(),
+            peers: peers(node),
+            is_ready: true,
+            is_cut: false,
+        };
+        let roster = Roster::new(me, (0..3).map(peers).collect());
+        let seed = self.rng.random();
+        let mut gateway = Gateway::new("north".into(), BOUNDS, roster, seed);
+        gateway.set_table(table(3));
+        for upstream in &self.upstreams {
+            gateway.pool.insert(Upstream::clone(upstream));
+        }
+        let _ = gateway.knowledge.confirm(Monotonic::ZERO, Monotonic::ZERO);
+        let plan = ask(&mut gateway, "/desk/a", Some("key-1"), 0).expect("a plan");
+        self.nodes[node] = Some(Node {
+            gateway,
+            started: now,
+            life: self.lives,
+            plan,
+            frozen_until: Time::ZERO,
+            deaf_until: Time::ZERO,
+            mute_until: Time::ZERO,
+            told: vec![None; LIMITED],
+            waiting: BTreeMap::new(),
+        });
+        let first = Duration::from_micros(self.rng.random_range(0..300_000));
+        self.put(now + first, node, Event::Tick);
+        self.next_request(node, now + first);
+    }
+
+    fn put(&mut self, at: Time, node: usize, event: Event) {
+        let life = self.nodes[node].as_ref().map_or(0, |node| node.life);
+        self.number += 1;
+        self.queue.push(Reverse((at, self.number)));
+        self.events.insert(self.number, (node, life, event));
+    }
+
+    fn next_request(&mut self, node: usize, now: Time) {
+        let draw: f64 = self.rng.random_range(1e-9..1.0);
+        let pause = self.pause.mul_f64(-draw.ln());
+        self.put(now + pause, node, Event::Request);
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse((at, number))) = self.queue.pop() {
+            if at > END {
+                return;
+            }
+            let (node, life, event) = self.events.remove(&number).expect("an event");
+            if let Event::Fault(fault) = event {
+                self.harm(node, fault, at);
+                continue;
+            }
+            let is_message = matches!(event, Event::Deliver(..));
+            let Some(of) = &self.nodes[node] else {
+                continue;
+            };
+            if of.life != life && !is_message {
+                continue;
+            }
+            if at < of.frozen_until {
+                // What comes in meanwhile is found when the process goes on.
+                let until = of.frozen_until;
+                self.put(until, node, event);
+                continue;
+            }
+            match event {
+                Event::Tick => self.tick(node, at),
+                Event::Request => self.request(node, at),
+                Event::Deliver(from, message) => self.hear(node, from, message, at),
+                Event::Answer(upstream, sent) => self.answer(node, upstream, sent, at),
+                Event::Fault(_) => {}
+            }
+        }
+    }
+
+    fn harm(&mut self, node: usize, fault: Fault, now: Time) {
+        match (fault, &mut self.nodes[node]) {
+            (Fault::Restart(pause), _) => {
+                self.nodes[node] = None;
+                self.boot(node, now + pause);
+            }
+            (Fault::Freeze(time), Some(of)) => of.frozen_until = now + time,
+            (Fault::Cut(time), Some(of)) => {
+                of.deaf_until = now + time;
+                of.mute_until = now + time;
+            }
+            (Fault::OneWay(time), Some(of)) => of.mute_until = now + time,
+            (_, None) => {}
+        }
+    }
+
+    fn at(&mut self, node: usize, now: Time) -> (&mut Node, Monotonic) {
+        let node = self.nodes[node].as_mut().expect("a gateway that lives");
+        let local = now.saturating_sub(node.started);
+        (node, local)
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: Message, now: Time) {
+        let to = number(to);
+        let is_mute = self.nodes[from]
+            .as_ref()
+            .is_none_or(|one| now < one.mute_until);
+        let is_cut = self.split.contains(&now) && from % 2 != to % 2;
+        let is_deaf = self.nodes[to]
+            .as_ref()
+            .is_none_or(|one| now < one.deaf_until);
+        if is_mute || is_deaf || is_cut || to == from || self.rng.random_ratio(LOST, 100) {
+            return;
+        }
+        let latency = Duration::from_micros(self.rng.random_range(200..LATENCY));
+        self.put(now + latency, to, Event::Deliver(from, message));
+    }
+
+    fn tick(&mut self, number: usize, now: Time) {
+        let mut rng = ChaCha8Rng::from_rng(&mut self.rng);
+        let (node, local) = self.at(number, now);
+        let beat = node.gateway.roster.beat(Vec::new(), local, &mut rng);
+        let targets = node.gateway.roster.targets(local, &mut rng);
+        let notices = node.gateway.limit_notices(local);
+        let loans = node.gateway.loans(local);
+        for target in targets {
+            self.send(number, target, Message::Beat(beat.clone()), now);
+            if !notices.is_empty() {
+                self.send(number, target, Message::Limits(notices.clone()), now);
+            }
+        }
+        for (home, loan) in loans {
+            self.send(number, home, Message::Loan(loan), now);
+        }
+        self.put(now + PERIOD, number, Event::Tick);
+    }
+
+    fn hear(&mut self, number: usize, from: usize, message: Message, now: Time) {
+        let (node, local) = self.at(number, now);
+        let gateway = &mut node.gateway;
+        match message {
+            Message::Beat(beat) => {
+                gateway.roster.hear(&beat, local);
+            }
+            Message::Limits(notices) => {
+                gateway.hear_limits(&notices, peers(from), local);
+            }
+            Message::Loan(loan) => {
+                gateway.hear_loan(&loan, peers(from), local);
+                let word = gateway.roster.word(Vec::new());
+                self.send(number, peers(from), Message::Beat(word), now);
+            }
+            Message::Ask(ask) => {
+                let reply = gateway.reply(ask, local);
+                self.send(number, peers(from), Message::Reply(reply), now);
+            }
+            Message::Reply(reply) => {
+                let Some((ask, upstream)) = node.waiting.remove(&reply.number) else {
+                    return;
+                };
+                let consent = gateway.take_reply(ask, Some(reply.permit), local);
+                if consent == Consent::Granted {
+                    self.forward(number, upstream, now);
+                }
+            }
+        }
+    }
+
+    fn request(&mut self, number: usize, now: Time) {
+        self.next_request(number, now);
+        let (node, local) = self.at(number, now);
+        let mut denied: Vec<UpstreamId> = Vec::new();
+        loop {
+            let gateway = &mut node.gateway;
+            let Ok(choice) = gateway.choose_within(None, &node.plan, &[], &denied, local) else {
+                return;
+            };
+            let upstream = usize::from(choice.upstream.address.port()) - 1;
+            match gateway.consent(&choice.upstream, local) {
+                Consent::Granted => return self.forward(number, upstream, now),
+                Consent::Denied => denied.push(choice.upstream.id.clone()),
+                Consent::Ask { home, ask } => {
+                    node.waiting.insert(ask.number, (ask, upstream));
+                    return self.send(number, home, Message::Ask(ask), now);
+                }
+            }
+        }
+    }
+
+    fn forward(&mut self, node: usize, upstream: usize, now: Time) {
+        if upstream < LIMITED {
+            self.arrived[upstream].push((now, node));
+        }
+        self.put(now + ANSWER, node, Event::Answer(upstream, now));
+    }
+
+    fn answer(&mut self, number: usize, upstream: usize, sent: Time, now: Time) {
+        let rate = (upstream < LIMITED && now >= NAMED).then_some(self.rate);
+        let target = Arc::clone(&self.upstreams[upstream]);
+        let (node, local) = self.at(number, now);
+        let sent = sent.saturating_sub(node.started);
+        node.gateway.take_limit(&target, rate, sent, local);
+        if rate.is_some() {
+            node.told[upstream].get_or_insert(now);
+        }
+    }
+
+    /// Returns the most requests that an upstream got within a window from gateways that had passed on its limit.
+    fn most(&self, upstream: usize) -> usize {
+        let counted: Vec<Time> = self.arrived[upstream]
+            .iter()
+            .filter(|(at, node)| {
+                let told = self.nodes[*node]
+                    .as_ref()
+                    .and_then(|node| node.told[upstream]);
+                *at >= NAMED + STABILITY && told.is_some_and(|told| *at >= told + TOLD)
+            })
+            .map(|(at, _)| *at)
+            .collect();
+        let mut first = 0;
+        let within = counted.iter().enumerate().map(|(last, at)| {
+            while at.saturating_sub(counted[first]) >= WINDOW {
+                first += 1;
+            }
+            last + 1 - first
+        });
+        within.max().unwrap_or(0)
+    }
+
+    /// Returns the requests that an upstream got while its limit held, from all gateways.
+    fn total(&self, upstream: usize) -> usize {
+        let arrived = self.arrived[upstream].iter();
+        arrived.filter(|(at, _)| *at >= NAMED + STABILITY).count()
+    }
+}
+
+/// Returns the requests that a limit allows in a window.
+fn allowed(rate: Rate) -> usize {
+    whole(rate * WINDOW.as_secs_f64() * 1.5) + 5
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a small positive number, rounded down"
+)]
+fn whole(requests: f64) -> usize {
+    requests as usize
+}
+
+/// Sizes of the users' deployments: gateways, and requests a second that an upstream takes.
+const FLEETS: [(usize, Rate); 6] = [
+    (6, 1.0),
+    (6, 12.0),
+    (98, 1.0),
+    (98, 30.0),
+    (340, 0.5),
+    (340, 20.0),
+];
+
+/// Guards against a fleet that sends an upstream in need as many times its limit as there are gateways.
+#[gtest]
+fn a_limit_holds_for_fleets_of_all_sizes_and_is_used() {
+    for (count, rate) in FLEETS {
+        let mut world = World::start(count, rate, 1);
+        world.run();
+        for upstream in 0..LIMITED {
+            expect_that!(
+                world.most(upstream),
+                le(allowed(rate)),
+                "{count} gateways, {rate}/s"
+            );
+            let time = END.saturating_sub(NAMED + STABILITY).as_secs_f64();
+            let half = whole(rate * time / 2.0);
+            expect_that!(
+                world.total(upstream),
+                ge(half),
+                "{count} gateways, {rate}/s"
+            );
+        }
+    }
+}
+
+/// Guards against homes of one limit that both permit requests while gateways start, stop, freeze and are cut off.
+#[gtest]
+fn a_limit_holds_while_gateways_start_stop_freeze_and_are_cut() {
+    for (count, rate) in FLEETS {
+        let seeds = if count < 300 { 3 } else { 1 };
+        for seed in 1..=seeds {
+            let mut world = World::start(count, rate, seed);
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            for _ in 0..count.min(40) {
+                let at = Duration::from_millis(rng.random_range(4_000..14_000));
+                let time = Duration::from_millis(rng.random_range(300..5_000));
+                let fault = match rng.random_range(0..4) {
+                    0 => Fault::Restart(millis(200)),
+                    1 => Fault::Freeze(time),
+                    2 => Fault::Cut(time),
+                    _ => Fault::OneWay(time),
+                };
+                let node = rng.random_range(0..count);
+                world.put(at, node, Event::Fault(fault));
+            }
+            world.run();
+            for upstream in 0..LIMITED {
+                let most = world.most(upstream);
+                expect_that!(
+                    most,
+                    le(allowed(rate)),
+                    "{count} gateways, {rate}/s, seed {seed}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against two halves of a fleet that each permit what the upstream takes in all.
+#[gtest]
+fn a_limit_holds_while_the_fleet_is_split_in_two() {
+    for (count, rate) in FLEETS {
+        let mut world = World::start(count, rate, 1);
+        world.split = NAMED + Duration::from_secs(1)..END;
+        world.run();
+        for upstream in 0..LIMITED {
+            let most = world.most(upstream);
+            expect_that!(most, le(allowed(rate)), "{count} gateways, {rate}/s");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/all/limit.rs
@@ -0,0 +1,328 @@
+//! Rate limits that upstreams name, kept by one gateway's decisions.
+//!
+//! Pattern: an upstream in need names how many requests a second it takes from all gateways together, while others of
+//! its service or group have room.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnline_core::error::Kind;
+use auburnline_gateway::Gateway;
+use auburnline_gateway::limit::Consent;
+use auburnline_gateway::neighbour::Beat;
+use auburnline_gateway::neighbour::Entry;
+use auburnline_gateway::request::Admission;
+use auburnline_gateway::upstream::State;
+use auburnline_gateway::upstream::Upstream;
+use auburnline_lockstep::message::Busy;
+use auburnline_lockstep::message::Digest;
+use auburnline_quota::Rate;
+use auburnline_quota::book::Teller;
+use auburnline_quota::home::Permit;
+use auburnline_quota::loan::LEASE;
+use googletest::prelude::*;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::gateway::ask;
+use crate::gateway::blank;
+use crate::support::millis;
+use crate::support::table;
+use crate::support::upstream;
+
+const PERIOD: u64 = 300;
+
+fn address(number: u16) -> SocketAddr {
+    ([10, 0, 0, 1], number).into()
+}
+
+/// Returns a gateway that lives alone, with two ranks of each of two groups and two plain upstreams.
+fn gateway() -> Gateway {
+    let mut gateway = blank();
+    gateway.set_table(table(3));
+    for (number, id) in ["a-0", "a-1", "b-0", "b-1"].into_iter().enumerate() {
+        let number = u16::try_from(number).expect("a small number");
+        gateway.pool.insert(Upstream {
+            address: address(number),
+            ..upstream(id, "model", State::Ready)
+        });
+    }
+    for id in ["desk-0", "desk-1"] {
+        gateway.pool.insert(upstream(id, "desk", State::Ready));
+    }
+    tick(&mut gateway, 2_100);
+    for (group, ranks) in [("a", [0, 1]), ("b", [2, 3])] {
+        let busy = |rank| Busy {
+            engine: address(rank),
+            requests: 0,
+            pace: 100,
+        };
+        let digest = Digest {
+            service: "model".to_owned(),
+            group: group.to_owned(),
+            is_open: true,
+            engines: ranks.map(busy).to_vec(),
+        };
+        gateway.hear(&digest, millis(2_100));
+    }
+    gateway
+}
+
+/// Does what a gateway does with each beat.
+fn tick(gateway: &mut Gateway, now: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let now = millis(now);
+    let _ = gateway.knowledge.confirm(now, now);
+    gateway.roster.beat(Vec::new(), now, &mut rng);
+    gateway.limit_notices(now);
+    gateway.loans(now);
+}
+
+fn find(gateway: &Gateway, id: &str) -> Arc<Upstream> {
+    let mut all = gateway.pool.iter();
+    Arc::clone(all.find(|one| &*one.id == id).expect("an upstream"))
+}
+
+fn name_limit(gateway: &mut Gateway, id: &str, rate: Rate, now: u64) {
+    let upstream = find(gateway, id);
+    gateway.take_limit(&upstream, Some(rate), millis(now - 1), millis(now));
+}
+
+/// Sends requests for a time, one each ten milliseconds; returns how often each upstream was chosen.
+fn press(gateway: &mut Gateway, path: &str, from: u64, until: u64) -> Vec<(u64, String)> {
+    let mut sent = Vec::new();
+    for now in (from..until).step_by(10) {
+        if now % PERIOD == 0 {
+            tick(gateway, now);
+        }
+        let plan = ask(gateway, path, Some("key-1"), now).expect("a plan");
+        let mut denied = Vec::new();
+        while let Ok(choice) = gateway.choose_within(None, &plan, &[], &denied, millis(now)) {
+            if gateway.consent(&choice.upstream, millis(now)) == Consent::Granted {
+                sent.push((now, choice.upstream.id.to_string()));
+                break;
+            }
+            denied.push(choice.upstream.id.clone());
+        }
+    }
+    sent
+}
+
+fn count(sent: &[(u64, String)], id: &str) -> usize {
+    sent.iter().filter(|(_, to)| to == id).count()
+}
+
+/// Guards against an upstream in need that gets more than the rate it named, while another one has room.
+#[gtest]
+fn an_upstream_gets_no_more_than_it_named_and_the_rest_goes_elsewhere() {
+    let mut gateway = gateway();
+    name_limit(&mut gateway, "desk-0", 2.0, 2_200);
+    let sent = press(&mut gateway, "/desk/a", 2_400, 12_400);
+    expect_that!(count(&sent, "desk-0"), all![ge(15), le(21)]);
+    expect_that!(sent.len(), eq(1_000));
+}
+
+/// Guards against a rank in need that gets more streams than it takes because its group as a whole has room.
+#[gtest]
+fn a_rank_gets_no_more_streams_than_it_named_and_its_group_serves_on() {
+    let mut gateway = gateway();
+    name_limit(&mut gateway, "a-0", 2.0, 2_200);
+    let sent = press(&mut gateway, "/draft/a", 2_400, 6_400);
+    expect_that!(count(&sent, "a-0"), le(9));
+    expect_that!(count(&sent, "a-1"), gt(9));
+    expect_that!(sent.len(), eq(400));
+}
+
+/// Guards against streams that are turned away because a group is drawn whose ranks are all at their limits.
+#[gtest]
+fn streams_go_to_another_group_where_all_ranks_of_one_are_at_their_limits() {
+    let mut gateway = gateway();
+    for id in ["a-0", "a-1"] {
+        name_limit(&mut gateway, id, 0.5, 2_200);
+    }
+    let sent = press(&mut gateway, "/draft/a", 2_400, 6_400);
+    expect_that!(count(&sent, "a-0") + count(&sent, "a-1"), le(6));
+    expect_that!(sent.len(), ge(390));
+}
+
+/// Guards against callers who wait for upstreams that are known to take nothing now.
+#[gtest]
+fn a_request_is_refused_at_once_where_all_upstreams_are_at_their_limits() {
+    let mut gateway = gateway();
+    for id in ["desk-0", "desk-1"] {
+        name_limit(&mut gateway, id, 0.5, 2_200);
+    }
+    press(&mut gateway, "/desk/a", 2_400, 4_400);
+    let plan = ask(&mut gateway, "/desk/a", Some("key-1"), 4_410).expect("a plan");
+    let Admission::Refuse(refusal) = gateway.admit(&plan, millis(4_410)) else {
+        panic!("it was let in");
+    };
+    expect_that!(refusal.kind, eq(Kind::Overloaded));
+    expect_that!(refusal.is_at_limit, eq(true));
+    expect_that!(refusal.retry_after, some(gt(Duration::ZERO)));
+    let limited = gateway.limited("desk", 9, millis(4_410));
+    expect_that!(limited, len(eq(2)));
+    expect_that!(limited[0].limit.teller, eq(Teller::Upstream));
+}
+
+#[gtest]
+fn a_limit_that_ended_holds_nothing_back() {
+    let mut gateway = gateway();
+    for id in ["desk-0", "desk-1"] {
+        name_limit(&mut gateway, id, 0.5, 2_200);
+    }
+    press(&mut gateway, "/desk/a", 2_400, 4_400);
+    for id in ["desk-0", "desk-1"] {
+        let upstream = find(&gateway, id);
+        gateway.take_limit(&upstream, None, millis(4_400), millis(4_420));
+    }
+    let sent = press(&mut gateway, "/desk/a", 4_430, 5_430);
+    expect_that!(sent.len(), eq(100));
+}
+
+/// Guards against a limit that outlives the start of the upstream that named it.
+#[gtest]
+fn an_upstream_that_starts_anew_has_no_limit() {
+    let mut gateway = gateway();
+    name_limit(&mut gateway, "desk-0", 0.5, 2_200);
+    let before = find(&gateway, "desk-0");
+    let again = Upstream {
+        born: Some(9),
+        ..Upstream::clone(&before)
+    };
+    gateway.pool.insert(again.clone());
+    expect_that!(gateway.limit(&before, millis(2_300)), some(anything()));
+    expect_that!(gateway.limit(&again, millis(2_300)), none());
+}
+
+/// Guards against a stream that gives up its slow rank and then breaks off since no other one takes it.
+#[gtest]
+fn a_stream_stays_at_its_slow_rank_where_the_others_have_limits() {
+    let mut gateway = gateway();
+    let busy = |rank, pace| Busy {
+        engine: address(rank),
+        requests: 3,
+        pace,
+    };
+    let slowed = Digest {
+        service: "model".to_owned(),
+        group: "a".to_owned(),
+        is_open: true,
+        engines: vec![busy(0, 1_200), busy(1, 100)],
+    };
+    gateway.hear(&slowed, millis(2_300));
+    let plan = ask(&mut gateway, "/draft/a", Some("key-1"), 2_300).expect("a plan");
+    let slow = find(&gateway, "a-0");
+    let now = millis(2_310);
+    expect_that!(gateway.is_better_off_elsewhere(&plan, &slow, now), eq(true));
+    name_limit(&mut gateway, "a-1", 5.0, 2_305);
+    expect_that!(
+        gateway.is_better_off_elsewhere(&plan, &slow, now),
+        eq(false)
+    );
+}
+
+/// Lets others of these gateways be heard until one comes first for the limit of `upstream`.
+fn with_home(
+    gateway: &mut Gateway,
+    upstream: &Upstream,
+    mut gateways: RangeInclusive<u16>,
+    now: u64,
+) -> SocketAddr {
+    gateways
+        .find_map(|number| {
+            let address = hear(gateway, number, now);
+            match gateway.consent(upstream, millis(now)) {
+                Consent::Ask { home, .. } => (home == address).then_some(home),
+                Consent::Granted | Consent::Denied => None,
+            }
+        })
+        .expect("a gateway that comes first")
+}
+
+fn hear(gateway: &mut Gateway, number: u16, now: u64) -> SocketAddr {
+    let address = ([10, 0, 2, 1], number).into();
+    let from = Entry {
+        instance: format!("gateway-{number}").into(),
+        incarnation: 1,
+        beat: now,
+        failure_domain: "north".into(),
+        callers: ([10, 0, 1, 1], number).into(),
+        peers: address,
+        is_ready: true,
+        is_cut: false,
+    };
+    let beat = Beat {
+        from,
+        counts: Vec::new(),
+        others: Vec::new(),
+    };
+    gateway.roster.hear(&beat, millis(now));
+    address
+}
+
+/// Returns the homes to which shares are lent with the next beats.
+fn lent(gateway: &mut Gateway, now: u64) -> Vec<SocketAddr> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let now = millis(now);
+    let mut homes = Vec::new();
+    for _ in 0..2 {
+        gateway.roster.beat(Vec::new(), now, &mut rng);
+        let loans = gateway.loans(now).into_iter();
+        homes.extend(loans.map(|(home, _)| home));
+    }
+    homes
+}
+
+/// Guards against a fleet in which each gateway permits itself what the upstream takes in all.
+#[gtest]
+fn a_gateway_that_is_not_the_home_asks_it_and_keeps_to_its_word() {
+    let mut gateway = gateway();
+    name_limit(&mut gateway, "desk-0", 2.0, 2_200);
+    let upstream = find(&gateway, "desk-0");
+    let address = with_home(&mut gateway, &upstream, 1..=99, 2_250);
+    let Consent::Ask { home, ask } = gateway.consent(&upstream, millis(2_300)) else {
+        panic!("it permits itself");
+    };
+    expect_that!(home, eq(address));
+    let granted = gateway.take_reply(ask, Some(Permit::Granted), millis(2_302));
+    expect_that!(granted, eq(Consent::Granted));
+    let denied = Permit::Denied { retry_ms: 400 };
+    let denied = gateway.take_reply(ask, Some(denied), millis(2_310));
+    expect_that!(denied, eq(Consent::Denied));
+    let sent = press(&mut gateway, "/desk/a", 2_320, 2_700);
+    expect_that!(count(&sent, "desk-0"), eq(0));
+    expect_that!(
+        gateway.take_reply(ask, None, millis(2_710)),
+        eq(Consent::Denied)
+    );
+}
+
+/// Guards against a share that counts at two homes, where the first is only cut off and still permits requests.
+#[gtest]
+fn a_share_goes_to_another_home_only_once_the_first_counts_on_it_no_more() {
+    let mut gateway = gateway();
+    name_limit(&mut gateway, "desk-0", 2.0, 2_200);
+    let upstream = find(&gateway, "desk-0");
+    let first = with_home(&mut gateway, &upstream, 1..=99, 2_250);
+    expect_that!(lent(&mut gateway, 2_300), elements_are![eq(&first)]);
+    // One that just started comes before the first home, which was heard last at 2,250.
+    let second = with_home(&mut gateway, &upstream, 100..=9_999, 3_000);
+    let lapsed = millis(2_250) + LEASE;
+    let lapsed = u64::try_from(lapsed.as_millis()).expect("a short time");
+    expect_that!(lent(&mut gateway, lapsed - 1), is_empty());
+    expect_that!(lent(&mut gateway, lapsed), elements_are![eq(&second)]);
+}
+
+/// Guards against a gateway that lends its share anew while the loan of the process before it still counts.
+#[gtest]
+fn a_gateway_that_just_started_lends_nothing() {
+    let mut gateway = gateway();
+    name_limit(&mut gateway, "desk-0", 2.0, 1_000);
+    let upstream = find(&gateway, "desk-0");
+    with_home(&mut gateway, &upstream, 1..=99, 1_100);
+    expect_that!(lent(&mut gateway, 1_999), is_empty());
+    expect_that!(lent(&mut gateway, 2_000), len(eq(1)));
+}
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,9 +1,11 @@
 //! Tests of a gateway's decisions.
 
 mod event;
+mod fleet;
 mod gateway;
 mod group;
 mod knowledge;
+mod limit;
 mod load;
 mod neighbour;
 mod pace;
--- a/crates/quota/src/book.rs
+++ b/crates/quota/src/book.rs
@@ -83,6 +83,16 @@
     said: Moment,
 }
 
+impl Entry {
+    fn notice(&self, upstream: UpstreamTag, now: Moment) -> Notice {
+        Notice {
+            upstream,
+            rate: self.rate,
+            age_ms: millis(now.saturating_sub(self.said)),
+        }
+    }
+}
+
 /// All limits that a gateway knows.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
@@ -109,10 +119,11 @@
         })
     }
 
-    /// Returns the upstreams that have a limit, with it.
-    pub fn limits(&self) -> impl Iterator<Item = (UpstreamTag, Rate)> {
+    /// Returns all limits in force.
+    pub fn in_force(&self, now: Monotonic) -> impl Iterator<Item = Notice> {
         let entries = self.entries.iter();
-        entries.filter_map(|(upstream, entry)| Some((*upstream, entry.rate?)))
+        let entries = entries.filter(|(_, entry)| entry.rate.is_some());
+        entries.map(move |(upstream, entry)| entry.notice(*upstream, moment(now)))
     }
 
     /// Takes what an answer says of its upstream's limit; its request was sent at `sent`.
@@ -148,11 +159,7 @@
         let told: Vec<_> = later.chain(earlier).take(MOST_NOTICES + 1).collect();
         let next = told.get(MOST_NOTICES).map_or(0, |(upstream, _)| **upstream);
         let notices = told.into_iter().take(MOST_NOTICES);
-        let notices = notices.map(|(upstream, entry)| Notice {
-            upstream: *upstream,
-            rate: entry.rate,
-            age_ms: millis(now.saturating_sub(entry.said)),
-        });
+        let notices = notices.map(|(upstream, entry)| entry.notice(*upstream, now));
         let notices = notices.collect();
         self.next = next;
         notices
--- /dev/null
+++ b/crates/quota/src/loan.rs
@@ -0,0 +1,89 @@
+//! A gateway's own share of each limit, lent to one home at a time.
+//!
+//! A loan names the last beat of the home that its lender heard, and lapses a [`LEASE`] after the home sent that beat. The home
+//! judges this by its own clock, however long the loan was on its way; the lender heard the beat later than it was
+//! sent, so it knows without asking when the home counts on the share no more. Only then the share goes to another home.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use auburnline_core::id::Incarnation;
+use auburnline_core::id::InstanceId;
+use auburnline_core::time::Monotonic;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::LenderTag;
+use crate::UpstreamTag;
+use crate::book::Notice;
+
+/// Time from a home's beat for which a share that was lent on it counts: some beats more than news needs to pass through a fleet
+/// of hundreds.
+pub const LEASE: Duration = Duration::from_secs(2);
+
+/// What a gateway heard last of a home, by which it lends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sign<'a> {
+    /// Home.
+    pub home: &'a InstanceId,
+    /// Incarnation of the home.
+    pub incarnation: Incarnation,
+    /// Its last beat that was heard.
+    pub beat: u64,
+    /// When that was heard.
+    pub heard: Monotonic,
+}
+
+/// Shares of limits, lent to their home.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Loan {
+    /// Lender.
+    pub lender: LenderTag,
+    /// Most gateways that the lender saw live at once.
+    pub fleet: u32,
+    /// Incarnation of the home.
+    pub incarnation: Incarnation,
+    /// Beat of the home that the loan rests on.
+    pub beat: u64,
+    /// Limits of which the share is lent.
+    pub limits: Vec<Notice>,
+}
+
+/// A share that is lent.
+#[derive(Clone, Debug)]
+struct Lent {
+    home: InstanceId,
+    until: Monotonic,
+}
+
+/// Shares that a gateway has lent.
+#[derive(Clone, Debug, Default)]
+pub struct Lender(BTreeMap<UpstreamTag, Lent>);
+
+impl Lender {
+    /// Returns whether the share of a limit may be lent to a home on its sign of life, and notes that it is.
+    pub fn lend(&mut self, upstream: UpstreamTag, sign: &Sign<'_>, now: Monotonic) -> bool {
+        // What this gateway lent before it started anew, it doesn't know.
+        if now < LEASE {
+            return false;
+        }
+        let until = sign.heard + LEASE;
+        let lent = self.0.entry(upstream).or_insert_with(|| Lent {
+            home: sign.home.clone(),
+            until,
+        });
+        if lent.home != *sign.home {
+            if now < lent.until {
+                return false;
+            }
+            lent.home = sign.home.clone();
+        }
+        lent.until = lent.until.max(until);
+        true
+    }
+
+    /// Forgets shares that are not lent any more.
+    pub fn forget(&mut self, now: Monotonic) {
+        self.0.retain(|_, lent| now < lent.until);
+    }
+}
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -92,6 +92,7 @@
         let present = messages.iter().flatten();
         present.for_each(|message| shared.tell(message, target));
     }
+    limit::lend(shared);
     let is_awaiting = shared.gateway().spread.awaits_configuration();
     if is_awaiting || beats.is_multiple_of(QUESTION_BEATS) {
         ask(shared, now);
@@ -142,6 +143,9 @@
         Ok(Datagram::Configuration(told)) => Feed(Rc::clone(shared)).told(*told),
         Ok(Datagram::Crashes(marks)) => crash::hear(shared, &marks),
         Ok(Datagram::Limits(notices)) => limit::hear(shared, &notices, from),
+        Ok(Datagram::Loan(loan)) => limit::hear_loan(shared, &loan, from),
+        Ok(Datagram::LimitAsk(ask)) => limit::answer(shared, ask, from),
+        Ok(Datagram::LimitReply(reply)) => limit::take_reply(shared, reply),
         Err(error) => {
             let cause = error.to_string();
             log::debug!(target: "neighbours", cause = cause.as_str(); "message not understood");
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -225,7 +225,7 @@
         if let Some(refusal) = self.hold_back() {
             return Sent::Refused(refusal);
         }
-        let (choice, group) = match self.assign(group) {
+        let (choice, group) = match self.assign(group).await {
             Ok(choice) => choice,
             Err(refusal) => return Sent::Refused(refusal),
         };
@@ -257,11 +257,31 @@
         }
     }
 
-    /// Chooses where the next send goes.
-    fn assign(&self, group: Option<&GroupId>) -> Result<(Choice, GroupId), Refusal> {
+    /// Chooses where the next send goes, among upstreams whose limits allow it, and counts it there.
+    async fn assign(&self, group: Option<&GroupId>) -> Result<(Choice, GroupId), Refusal> {
+        let mut denied = Vec::new();
+        loop {
+            let choice = self.choose(group, &denied)?;
+            if choice.limit.is_none() || self.is_within_limit(&choice.upstream).await {
+                let group = self.begin(&choice);
+                return Ok((choice, group));
+            }
+            denied.push(choice.upstream.id.clone());
+        }
+    }
+
+    fn choose(&self, group: Option<&GroupId>, denied: &[UpstreamId]) -> Result<Choice, Refusal> {
         let now = self.shared.now();
         let mut gateway = self.shared.gateway();
-        gateway.assign_within(group, &self.plan, &self.tried, now)
+        gateway.choose_within(group, &self.plan, &self.tried, denied, now)
+    }
+
+    fn begin(&self, choice: &Choice) -> GroupId {
+        let now = self.shared.now();
+        let is_first = self.tried.is_empty();
+        self.shared
+            .gateway()
+            .begin(&self.plan, choice, is_first, now)
     }
 
     fn request(
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -20,9 +20,11 @@
 use auburnline_gateway::upstream::UpstreamId;
 use auburnline_http::Client;
 use auburnline_http::Timeouts;
+use auburnline_quota::home::Permit;
 use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
@@ -56,6 +58,8 @@
     pub(crate) slowed: Notify,
     /// Gateways that asked for changes, and when.
     askers: RefCell<HashMap<SocketAddr, Monotonic>>,
+    /// Requests that wait for the permit of a limit's home, by the number of the question.
+    permits: RefCell<HashMap<u64, oneshot::Sender<Permit>>>,
     socket: OnceCell<Rc<UdpSocket>>,
 }
 
@@ -73,6 +77,7 @@
             news: Notify::new(),
             slowed: Notify::new(),
             askers: RefCell::default(),
+            permits: RefCell::default(),
             socket: OnceCell::new(),
         }
     }
@@ -137,6 +142,25 @@
         askers.keys().for_each(|asker| self.tell(&message, *asker));
     }
 
+    /// Returns what yields the reply to a question to a limit's home.
+    pub(crate) fn await_permit(&self, number: u64) -> oneshot::Receiver<Permit> {
+        let (sender, receiver) = oneshot::channel();
+        let mut permits = self.permits.borrow_mut();
+        // Questions whose reply was lost, or whose caller left.
+        permits.retain(|_, sender| !sender.is_closed());
+        permits.insert(number, sender);
+        receiver
+    }
+
+    /// Passes the reply of a limit's home on to the request that waits for it; without one it is late.
+    pub(crate) fn permit(&self, number: u64, permit: Permit) {
+        let waiting = self.permits.borrow_mut().remove(&number);
+        let is_taken = waiting.is_some_and(|sender| sender.send(permit).is_ok());
+        if !is_taken {
+            metrics::counter!("auburnline_limit_replies_late_total").increment(1);
+        }
+    }
+
     /// Returns the time.
     pub(crate) fn now(&self) -> Monotonic {
         self.clock.now()
--- a/crates/relay/src/tell.rs
+++ b/crates/relay/src/tell.rs
@@ -16,6 +16,9 @@
 use crate::head::Body;
 use crate::shared::Shared;
 
+/// Upstreams at their limits that the line of a refusal names at most.
+const MOST_LIMITED: usize = 4;
+
 /// How a stream's events came.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pace {
@@ -39,6 +42,13 @@
     let now = shared.now();
     let age = gateway.knowledge.age(now).unwrap_or_default();
     let basis = refusal.basis;
+    let limited = plan.filter(|_| refusal.is_at_limit).map(|plan| {
+        let limited = gateway.limited(&plan.service, MOST_LIMITED, now);
+        let limited = limited.into_iter();
+        limited
+            .map(|one| (one.upstream.id.clone(), one.limit, one.home))
+            .collect::<Vec<_>>()
+    });
     let prediction = basis.map(|basis| basis.prediction);
     log::info!(
         target: "gateway",
@@ -59,6 +69,7 @@
         pass_ms:? = prediction.map(|prediction| millis(prediction.pass)),
         factor:? = prediction.map(|prediction| prediction.factor),
         cautious:? = basis.map(|basis| basis.is_cautious),
+        limited:?,
         version:? = gateway.version(),
         age_ms = millis(age);
         "refuse"
