A request is permitted by the home that holds this gateway's share

Seen while the fix was read: a gateway asks the home that comes first by what it believes now, also where its share still counts at another. While a home leaves or a new one comes first, the new one has no shares for up to a lease and denies what the old one could permit.

Now the home that holds the share is asked until the share goes elsewhere.

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -146,7 +146,7 @@
             Some(Limited {
                 upstream: Arc::clone(upstream),
                 limit: self.limits.book.limit(start, now)?,
-                home: self.roster.home(&home_key(start), now).entry.peers,
+                home: self.home(start, now),
             })
         });
         limited.take(most).collect()
@@ -224,6 +224,7 @@
                 incarnation: home.entry.incarnation,
                 beat: home.entry.beat,
                 heard: home.heard,
+                address: home.entry.peers,
             };
             if !self.limits.lender.lend(notice.upstream, &sign, now) {
                 continue;
@@ -265,12 +266,11 @@
             return Consent::Granted;
         }
         let start = start_tag(upstream);
-        let home = self.roster.home(&home_key(start), now);
-        if home.is_me {
+        let home = self.home(start, now);
+        if home == self.roster.me().peers {
             let permit = self.permit(start, now);
             return self.take_permit(start, permit, now);
         }
-        let home = home.entry.peers;
         self.limits.asks += 1;
         let number = self.limits.asks;
         let ask = Ask {
@@ -280,6 +280,15 @@
         Consent::Ask { home, ask }
     }
 
+    /// Returns the address of the gateway that permits requests to an upstream with a limit.
+    fn home(&self, upstream: StartTag, now: Monotonic) -> SocketAddr {
+        let lent = self.limits.lender.home(upstream, now);
+        lent.unwrap_or_else(|| {
+            let home = self.roster.home(&home_key(upstream), now);
+            home.entry.peers
+        })
+    }
+
     /// Replies to a gateway that asks whether it may send a request.
     pub fn reply(&mut self, ask: Ask, now: Monotonic) -> Reply {
         Reply {
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -118,8 +118,6 @@
     pub(crate) entry: &'a Entry,
     /// When that was heard.
     pub(crate) heard: Monotonic,
-    /// Whether it is this gateway.
-    pub(crate) is_me: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -229,14 +227,12 @@
         let me = Home {
             entry: &self.me,
             heard: now,
-            is_me: true,
         };
         let others = self.others.values();
         let others = others.filter(|known| known.may_be_home(now));
         let others = others.map(|known| Home {
             entry: &known.entry,
             heard: known.heard,
-            is_me: false,
         });
         let rank = |home: &Home<'_>| {
             let score = rendezvous(key, &home.entry.instance);
--- a/crates/gateway/tests/all/fleet.rs
+++ b/crates/gateway/tests/all/fleet.rs
@@ -496,3 +496,34 @@
         }
     }
 }
+
+/// Guards against an upstream that is left without work while gateways are restarted one after the other.
+#[gtest]
+fn a_limit_is_used_while_gateways_restart_in_turn() {
+    for (count, rate) in [(6, 12.0), (98, 30.0)] {
+        let mut world = World::start(count, rate, 1);
+        for node in 0..count.min(10) {
+            let turn = Duration::from_secs(1).saturating_mul(u32::try_from(node).expect("few"));
+            world.put(
+                NAMED + STABILITY + turn,
+                node,
+                Event::Fault(Fault::Restart(millis(500))),
+            );
+        }
+        world.run();
+        for upstream in 0..LIMITED {
+            expect_that!(
+                world.most(upstream),
+                le(allowed(rate)),
+                "{count} gateways, {rate}/s"
+            );
+            let time = END.saturating_sub(NAMED + STABILITY).as_secs_f64();
+            let half = whole(rate * time / 2.0);
+            expect_that!(
+                world.total(upstream),
+                ge(half),
+                "{count} gateways, {rate}/s"
+            );
+        }
+    }
+}
--- a/crates/gateway/tests/all/limit.rs
+++ b/crates/gateway/tests/all/limit.rs
@@ -308,12 +308,24 @@
     let upstream = find(&gateway, "desk-0");
     let first = with_home(&mut gateway, &upstream, 1..=99, 2_250);
     expect_that!(lent(&mut gateway, 2_300), elements_are![eq(&first)]);
-    // One that just started comes before the first home, which was heard last at 2,250.
-    let second = with_home(&mut gateway, &upstream, 100..=9_999, 3_000);
+    // Of so many that start, one comes before the first home, which was heard last at 2,250.
+    for number in 100..=2_000 {
+        hear(&mut gateway, number, 3_000);
+    }
+    let asked = |gateway: &mut Gateway, now: u64| {
+        let consent = gateway.consent(&upstream, millis(now));
+        let Consent::Ask { home, .. } = consent else {
+            panic!("it permits itself");
+        };
+        home
+    };
     let lapsed = millis(2_250) + LEASE;
     let lapsed = u64::try_from(lapsed.as_millis()).expect("a short time");
     expect_that!(lent(&mut gateway, lapsed - 1), is_empty());
-    expect_that!(lent(&mut gateway, lapsed), elements_are![eq(&second)]);
+    expect_that!(asked(&mut gateway, lapsed - 1), eq(first));
+    let second = lent(&mut gateway, lapsed);
+    expect_that!(second, elements_are![not(eq(&first))]);
+    expect_that!(asked(&mut gateway, lapsed), eq(second[0]));
 }
 
 /// Guards against a gateway that lends its share anew while the loan of the process before it still counts.
--- a/crates/quota/src/loan.rs
+++ b/crates/quota/src/loan.rs
@@ -5,6 +5,7 @@
 //! sent, so it knows without asking when the home counts on the share no more. Only then the share goes to another home.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use auburnline_core::id::Incarnation;
@@ -32,6 +33,8 @@
     pub beat: u64,
     /// When that was heard.
     pub heard: Monotonic,
+    /// Its address towards other gateways.
+    pub address: SocketAddr,
 }
 
 /// Shares of limits, lent to their home.
@@ -53,6 +56,7 @@
 #[derive(Clone, Debug)]
 struct Lent {
     home: InstanceId,
+    address: SocketAddr,
     until: Monotonic,
 }
 
@@ -70,6 +74,7 @@
         let until = sign.heard + LEASE;
         let lent = self.0.entry(upstream).or_insert_with(|| Lent {
             home: sign.home.clone(),
+            address: sign.address,
             until,
         });
         if lent.home != *sign.home {
@@ -78,10 +83,19 @@
             }
             lent.home = sign.home.clone();
         }
+        lent.address = sign.address;
         lent.until = lent.until.max(until);
         true
     }
 
+    /// Returns the address of the home that counts on the share of a limit now: it permits requests until the share goes
+    /// elsewhere, also if another home comes first meanwhile.
+    #[must_use]
+    pub fn home(&self, upstream: UpstreamTag, now: Monotonic) -> Option<SocketAddr> {
+        let lent = self.0.get(&upstream).filter(|lent| now < lent.until)?;
+        Some(lent.address)
+    }
+
     /// Forgets shares that are not lent any more.
     pub fn forget(&mut self, now: Monotonic) {
         self.0.retain(|_, lent| now < lent.until);
