Gateways of a large fleet know its size

What would be seen: shares of the retry budget and of a limit add up to more than the whole in a fleet of hundreds. Each gateway divides by the most gateways that it ever saw live at once, and of 340 one sees at times only 215 within 1.6 s, since news passes by beats to six others: up to 1.58 times the budget.

Cause: the same count served two ends. Who is offered to callers has to be judged by fresh news; how many share something has not.

Now gateways that were heard of within five seconds count for the size, and each tells its count with its beats, so that the largest count reaches all. It is told as it is now, not as it ever was, so that a fleet that became smaller is known again after its gateways were restarted.

--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -36,9 +36,11 @@
 pub const PERIOD: Duration = Duration::from_millis(300);
 /// Time without news after which a gateway counts as gone: five beats, since single ones are lost.
 pub const LIFE: Duration = Duration::from_millis(1_600);
-/// Time without news after which a gateway is not the home of a limit: longer than [`LIFE`], since all have to agree on the
-/// home, and in a fleet of hundreds news of one that lives may be older. Those that lend to it hear from it directly.
+/// Time without news up to which a gateway may be the home of a limit: longer than [`LIFE`], since in a fleet of hundreds news
+/// of one that lives may be older, and all have to agree. Those that lend to it hear from it directly.
 const HOME_LIFE: Duration = Duration::from_secs(3);
+/// Time without news up to which a gateway counts for the size of the fleet: nearly all news is younger in a fleet of hundreds.
+const MEMBERSHIP: Duration = Duration::from_secs(5);
 /// Gateways that one beat is sent to, so that the cost of a gateway does not grow with the fleet.
 const FANOUT: usize = 6;
 /// Gateways that one beat tells of besides its sender; the message stays within one datagram.
@@ -80,6 +82,8 @@
     pub counts: Counts,
     /// Others that the sender heard of.
     pub others: Vec<Entry>,
+    /// Gateways that the sender counts as members, itself included.
+    pub members: u32,
 }
 
 /// Message to a gateway.
@@ -134,6 +138,10 @@
     fn may_be_home(&self, now: Monotonic) -> bool {
         now.saturating_sub(self.heard) < HOME_LIFE
     }
+
+    fn is_member(&self, now: Monotonic) -> bool {
+        now.saturating_sub(self.heard) < MEMBERSHIP
+    }
 }
 
 /// News of a gateway, for the log.
@@ -151,7 +159,7 @@
     me: Entry,
     seeds: Vec<SocketAddr>,
     others: BTreeMap<InstanceId, Known>,
-    /// Most gateways that lived at once, this one included.
+    /// Most gateways that were members at once, this one included.
     most: usize,
 }
 
@@ -253,7 +261,9 @@
         for entry in &beat.others {
             news.extend(self.take(entry, false, now));
         }
-        self.most = self.most.max(self.live(now));
+        // One gateway alone knows a part of a fleet of hundreds, and not all know the same.
+        let told = usize::try_from(beat.members).unwrap_or(0);
+        self.most = self.most.max(self.members(now)).max(told);
         news
     }
 
@@ -304,16 +314,18 @@
             from: self.me.clone(),
             counts,
             others: told.into_iter().map(|known| known.entry.clone()).collect(),
+            members: count(self.members(now)),
         }
     }
 
     /// Returns the last beat without news of others, for a gateway that lends to this one.
     #[must_use]
-    pub fn word(&self, counts: Counts) -> Beat {
+    pub fn word(&self, counts: Counts, now: Monotonic) -> Beat {
         Beat {
             from: self.me.clone(),
             counts,
             others: Vec::new(),
+            members: count(self.members(now)),
         }
     }
 
@@ -351,7 +363,13 @@
             .count()
     }
 
-    /// Returns the most gateways that lived at once: a safe divisor of what all share, since a
+    /// Returns how many gateways are members, this one included.
+    fn members(&self, now: Monotonic) -> usize {
+        let others = self.others.values();
+        1 + others.filter(|known| known.is_member(now)).count()
+    }
+
+    /// Returns the most gateways that were members at once: a safe divisor of what all share, since a
     /// gateway that is cut off can't tell whether the others are gone.
     #[must_use]
     pub const fn most(&self) -> usize {
@@ -370,6 +388,10 @@
     }
 }
 
+fn count(members: usize) -> u32 {
+    u32::try_from(members).unwrap_or(u32::MAX)
+}
+
 fn candidate(entry: &Entry, is_live: bool) -> Candidate {
     Candidate {
         instance: entry.instance.clone(),
--- a/crates/gateway/tests/all/fleet.rs
+++ b/crates/gateway/tests/all/fleet.rs
@@ -316,7 +316,7 @@
             }
             Message::Loan(loan) => {
                 gateway.hear_loan(&loan, peers(from), local);
-                let word = gateway.roster.word(Vec::new());
+                let word = gateway.roster.word(Vec::new(), local);
                 self.send(number, peers(from), Message::Beat(word), now);
             }
             Message::Ask(ask) => {
@@ -527,3 +527,15 @@
         }
     }
 }
+
+/// Guards against shares of a limit or of the retry budget that add up to more than the whole because gateways take their
+/// fleet for smaller than it is.
+#[gtest]
+fn gateways_know_the_size_of_a_large_fleet() {
+    let count = 340;
+    let mut world = World::start(count, 1.0, 1);
+    world.run();
+    let nodes = world.nodes.iter().flatten();
+    let least = nodes.map(|node| node.gateway.roster.most()).min();
+    expect_that!(least, some(ge(count * 97 / 100)));
+}
--- a/crates/gateway/tests/all/limit.rs
+++ b/crates/gateway/tests/all/limit.rs
@@ -258,6 +258,7 @@
         from,
         counts: Vec::new(),
         others: Vec::new(),
+        members: 1,
     };
     gateway.roster.hear(&beat, millis(now));
     address
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -62,6 +62,7 @@
             from,
             counts: Vec::new(),
             others: Vec::new(),
+            members: 1,
         };
         gateway.roster.hear(&beat, millis(now));
     }
--- a/crates/gateway/tests/all/neighbour.rs
+++ b/crates/gateway/tests/all/neighbour.rs
@@ -29,6 +29,7 @@
         from,
         counts: Vec::new(),
         others,
+        members: 1,
     }
 }
 
--- a/crates/relay/src/limit.rs
+++ b/crates/relay/src/limit.rs
@@ -123,7 +123,7 @@
     let mut gateway = shared.gateway();
     let heard = gateway.hear_loan(loan, from, now);
     let counts = gateway.pool.counts(MAX_COUNTS);
-    let word = gateway.roster.word(counts);
+    let word = gateway.roster.word(counts, now);
     drop(gateway);
     shared.tell(&Datagram::Beat(word), from);
     for news in &heard {
