A rank with a limit that refuses a request does not shut its group

Found while the same cause was sought elsewhere: a refusal by a rank that has a place is taken as the word that its whole group is shut, and gateways leave the group alone for a quarter of a second. A rank in need may refuse for its own sake, whatever its places.

Now a refusal by an upstream that named a limit tells nothing of its group. limit::a_rank_with_a_limit_that_refuses_does_not_shut_its_group failed before (is_shut was true).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -377,12 +377,15 @@
             .choose(&plan.service, preference, domain, may_take, now, rng)
     }
 
-    /// Takes that an upstream refused a request, unrun. One that had a place for it belongs to a group that
-    /// is shut.
+    /// Takes that an upstream refused a request, unrun. One that had a place for it, and named no limit, belongs to a group
+    /// that is shut.
     pub fn refused(&mut self, plan: &Plan, id: &str, group: &GroupId, now: Monotonic) {
         let mut usages = self.pool.usages(&plan.service, now);
         let usage = usages.find(|usage| *usage.upstream.id == *id);
-        let had_place = usage.is_some_and(|usage| usage.requests <= usage.upstream.slots);
+        let had_place = usage.is_some_and(|usage| {
+            let is_limited = self.limit(usage.upstream, now).is_some();
+            !is_limited && usage.requests <= usage.upstream.slots
+        });
         if plan.engine.is_some() && had_place {
             self.groups.suspect(group, now);
         }
--- a/crates/gateway/tests/all/limit.rs
+++ b/crates/gateway/tests/all/limit.rs
@@ -224,6 +224,19 @@
     );
 }
 
+/// Guards against a whole group that is left without work because one rank in need turns a stream away.
+#[gtest]
+fn a_rank_with_a_limit_that_refuses_does_not_shut_its_group() {
+    let mut gateway = gateway();
+    name_limit(&mut gateway, "a-0", 2.0, 2_200);
+    let plan = ask(&mut gateway, "/draft/a", Some("key-1"), 2_300).expect("a plan");
+    let now = millis(2_300);
+    gateway.refused(&plan, "a-0", &"a".into(), now);
+    expect_that!(gateway.groups.is_shut("a", now), eq(false));
+    gateway.refused(&plan, "a-1", &"a".into(), now);
+    expect_that!(gateway.groups.is_shut("a", now), eq(true));
+}
+
 /// Lets others of these gateways be heard until one comes first for the limit of `upstream`.
 fn with_home(
     gateway: &mut Gateway,
