Choice, assignment and messages of gateways in modules of their own

No logic changed: the choice among upstreams (choice), which one a request goes to next (assign, in the decisions and in the relay), and what gateways say to each other (message) are moved, with their imports.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -37,12 +37,8 @@
 use crate::spread;
 use crate::spread::Need;
 use crate::spread::Spread;
-use crate::upstream::Choice;
 use crate::upstream::Outcome;
 use crate::upstream::Pool;
-use crate::upstream::Preference;
-use crate::upstream::Upstream;
-use crate::upstream::UpstreamId;
 
 /// Time to come back when no upstream takes work: a group forms anew within about a second.
 pub(crate) const NO_UPSTREAM_RETURN: Duration = Duration::from_millis(800);
@@ -78,14 +74,14 @@
 
 /// All that one gateway decides with.
 pub struct Gateway {
-    failure_domain: FailureDomainId,
+    pub(crate) failure_domain: FailureDomainId,
     pub(crate) bounds: Bounds,
     table: Option<Arc<Table>>,
     pub(crate) paces: HashMap<GroupId, Group>,
     pub(crate) allowances: HashMap<GroupId, Allowance>,
     /// When a request last found all groups of a service shut.
     pub(crate) shut_at: HashMap<ServiceId, Monotonic>,
-    budget: Budget<ServiceId, ServiceId>,
+    pub(crate) budget: Budget<ServiceId, ServiceId>,
     pub(crate) rng: ChaCha8Rng,
     /// Upstreams.
     pub pool: Pool,
@@ -267,130 +263,6 @@
         }
     }
 
-    /// Chooses the upstream of the next send and counts it there.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal if none is left.
-    pub fn assign(
-        &mut self,
-        plan: &Plan,
-        tried: &[UpstreamId],
-        now: Monotonic,
-    ) -> Result<(Choice, GroupId), Refusal> {
-        self.assign_within(None, plan, tried, now)
-    }
-
-    /// Does the same for a stream that moves to another rank of its group, if one is given.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal if none is left.
-    pub fn assign_within(
-        &mut self,
-        group: Option<&GroupId>,
-        plan: &Plan,
-        tried: &[UpstreamId],
-        now: Monotonic,
-    ) -> Result<(Choice, GroupId), Refusal> {
-        let choice = self.choose_within(group, plan, tried, &[], now)?;
-        let group = self.begin(plan, &choice, tried.is_empty(), now);
-        Ok((choice, group))
-    }
-
-    /// Chooses the upstream of the next send, in a group if one is given, and counts nothing yet. Those whose limits `denied`
-    /// this send are left out.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal if none is left.
-    pub fn choose_within(
-        &mut self,
-        group: Option<&GroupId>,
-        plan: &Plan,
-        tried: &[UpstreamId],
-        denied: &[UpstreamId],
-        now: Monotonic,
-    ) -> Result<Choice, Refusal> {
-        let mut rng = ChaCha8Rng::from_rng(&mut self.rng);
-        let engine = plan.engine.zip(plan.route.longest_pause);
-        let group = match (engine, group) {
-            (Some((engine, longest)), None) => {
-                let room = self.roomy(&plan.service, &engine, longest, now);
-                room.map(|room| room.group)
-            }
-            (_, group) => group.cloned(),
-        };
-        let may_take = |upstream: &Upstream| {
-            let is_left = !tried.contains(&upstream.id) && !denied.contains(&upstream.id);
-            is_left && self.limits.is_open(upstream, now)
-        };
-        let choice = match (engine, group) {
-            (Some(_), Some(group)) => {
-                let may_take =
-                    |upstream: &Upstream| may_take(upstream) && self.group_of(upstream) == group;
-                self.choose(plan, Preference::EvenLoad, may_take, now, &mut rng)
-            }
-            (Some(_), None) => None,
-            (None, _) => self.choose(plan, Preference::ShortestTime, may_take, now, &mut rng),
-        };
-        let Some(mut choice) = choice else {
-            if let Some(refusal) = self.at_limit(plan, tried, denied, now) {
-                return Err(refusal);
-            }
-            let refusal = Refusal::of(ErrorKind::Unreachable, "no upstream is left");
-            return Err(refusal.after(NO_UPSTREAM_RETURN));
-        };
-        choice.limit = self.limit(&choice.upstream, now).map(|limit| limit.rate);
-        Ok(choice)
-    }
-
-    /// Counts a request at the upstream that was chosen for it; returns the upstream's group.
-    pub fn begin(
-        &mut self,
-        plan: &Plan,
-        choice: &Choice,
-        is_first: bool,
-        now: Monotonic,
-    ) -> GroupId {
-        self.pool.begin(&choice.upstream.id);
-        if is_first {
-            self.budget.first(now, &plan.service, &plan.service);
-        }
-        let group = self.group_of(&choice.upstream);
-        if let Some(allowance) = self.allowances.get_mut(&group) {
-            allowance.spend();
-        }
-        group
-    }
-
-    fn choose(
-        &self,
-        plan: &Plan,
-        preference: Preference,
-        may_take: impl Fn(&Upstream) -> bool,
-        now: Monotonic,
-        rng: &mut ChaCha8Rng,
-    ) -> Option<Choice> {
-        let domain = &self.failure_domain;
-        self.pool
-            .choose(&plan.service, preference, domain, may_take, now, rng)
-    }
-
-    /// Takes that an upstream refused a request, unrun. One that had a place for it, and named no limit, belongs to a group
-    /// that is shut.
-    pub fn refused(&mut self, plan: &Plan, id: &str, group: &GroupId, now: Monotonic) {
-        let mut usages = self.pool.usages(&plan.service, now);
-        let usage = usages.find(|usage| *usage.upstream.id == *id);
-        let had_place = usage.is_some_and(|usage| {
-            let is_limited = self.limit(usage.upstream, now).is_some();
-            !is_limited && usage.requests <= usage.upstream.slots
-        });
-        if plan.engine.is_some() && had_place {
-            self.groups.suspect(group, now);
-        }
-    }
-
     /// Takes the word of a group's lead; returns what it changes.
     pub fn hear(&mut self, digest: &Digest, now: Monotonic) -> Heard {
         let has_slowed = self.pool.reports.hear(digest, now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! A gateway is an entry that relays the HTTP requests of callers straight to upstreams, where no
 //! process of the system stands beside the caller. [`route`] finds what a request may do,
-//! [`upstream`] who may take it, [`group`] which of them run in lock-step, [`pace`] whether a group can
+//! [`upstream`] who may take it, [`choice`] who of them does, [`group`] which of them run in lock-step, [`pace`] whether a group can
 //! take it in time, `caution` how far it is filled where demand shifts often, [`report`] what the groups' leads tell of their load,
-//! [`neighbour`] which other gateways live, [`quarantine`] which requests crash what runs them, [`limit`] which rates upstreams take, [`knowledge`] how old the published state may be,
+//! [`neighbour`] which other gateways live, [`message`] what they say to each other, [`quarantine`] which requests crash what runs them, [`limit`] which rates upstreams take, [`knowledge`] how old the published state may be,
 //! [`spread`] who reads the store for whom, and [`event`] cuts streams into whole events.
 //! [`gateway`] joins them. Nothing here sends, reads a clock or knows how a platform spells its
 //! messages.
@@ -12,13 +12,16 @@
 mod address;
 mod admission;
 mod allowance;
+mod assign;
 mod caution;
+pub mod choice;
 pub mod event;
 pub mod gateway;
 pub mod group;
 pub mod knowledge;
 pub mod limit;
 mod member;
+pub mod message;
 mod moving;
 pub mod neighbour;
 pub mod pace;
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -195,7 +195,7 @@
 
     /// Takes that a beat is sent; returns what to tell other gateways of limits, and forgets those of upstreams that are
     /// gone.
-    pub fn limit_notices(&mut self, now: Monotonic) -> Vec<Notice> {
+    pub fn beat_limits(&mut self, now: Monotonic) -> Vec<Notice> {
         self.limits.home.sent(self.roster.me().beat, now);
         self.limits.closed.retain(|_, until| now < *until);
         self.limits.lender.forget(now);
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::neighbour::Entry;
+use crate::message::Entry;
 use crate::route::Content;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamId;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -3,8 +3,7 @@
 //! A [`Pool`] follows the published list: an upstream that leaves gets no new work from then on, and
 //! one that is missing after the store was away is kept for a moment, since it may be written anew. An
 //! address has one upstream: of several that are listed there, all but the newest are gone already.
-//! The choice counts what this gateway and its neighbours have in flight at each upstream, and what
-//! its last answers showed: failures that are fresh, and times longer than its peers'.
+//! [`crate::choice`] chooses among them.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -15,10 +14,6 @@
 
 use auburnline_core::id::FailureDomainId;
 use auburnline_core::time::Monotonic;
-use auburnline_lockstep::sight::slowness;
-use auburnline_quota::Rate;
-use rand::Rng;
-use rand::seq::IteratorRandom as _;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -35,17 +30,8 @@
 /// Requests in flight at upstreams, as one gateway tells its neighbours.
 pub type Counts = Vec<(u32, u32)>;
 
-/// Requests in flight that one fresh failure weighs as much as, in parts of an upstream's places.
-const FAILURE_WEIGHT: f64 = 0.75;
 /// Age at which a neighbour's counts are dropped: several of its messages are missing by then.
 const COUNTS_AGE: Duration = Duration::from_millis(1_500);
-/// Advantage of the own failure domain, in requests: less than one, so that it only breaks ties.
-const NEAR_ADVANTAGE: f64 = 0.25;
-
-/// Ranks drawn by chance among which the least loaded is chosen: more than one, so that loads count, and few of all, so
-/// that gateways differ. Other numbers were not measured.
-const DRAWN: usize = 3;
-
 /// Whether an upstream takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
@@ -96,32 +82,6 @@
     u32::try_from(hash >> 32).unwrap_or(u32::MAX)
 }
 
-/// How upstreams of a service are compared.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Preference {
-    /// Ranks in lock-step: all are as slow as the slowest, so only what is in flight counts.
-    EvenLoad,
-    /// Upstreams by themselves: the time to the answer counts.
-    ShortestTime,
-}
-
-/// Why an upstream was chosen, for the log.
-#[derive(Clone, Debug)]
-pub struct Choice {
-    /// Upstream.
-    pub upstream: Arc<Upstream>,
-    /// Its score; the least wins.
-    pub score: f64,
-    /// Requests in flight there from all gateways.
-    pub in_flight: u32,
-    /// Age of its group's word that tells them; none if this gateway's and its neighbours' counts do.
-    pub told: Option<Duration>,
-    /// Upstreams that could have been chosen.
-    pub candidates: usize,
-    /// Rate limit that the upstream named.
-    pub limit: Option<Rate>,
-}
-
 /// What runs at one upstream.
 pub(crate) struct Usage<'a> {
     pub(crate) upstream: &'a Upstream,
@@ -260,7 +220,7 @@
     }
 
     /// Returns all upstreams of a service that take work.
-    fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Member> {
+    pub(crate) fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Member> {
         let members = self.members.values();
         members.filter(move |member| {
             let is_asked = *member.upstream.service == *service;
@@ -290,45 +250,7 @@
         sums
     }
 
-    /// Chooses an upstream of `service` among those that `may_take` the request.
-    pub fn choose(
-        &self,
-        service: &str,
-        preference: Preference,
-        near: &str,
-        may_take: impl Fn(&Upstream) -> bool,
-        now: Monotonic,
-        rng: &mut impl Rng,
-    ) -> Option<Choice> {
-        let candidates: Vec<&Member> = self
-            .of(service)
-            .filter(|member| may_take(&member.upstream))
-            .collect();
-        let usual = least_mean(&candidates);
-        let candidates = match preference {
-            Preference::EvenLoad => some(candidates, rng),
-            Preference::ShortestTime => candidates,
-        };
-        let scored = candidates.iter().map(|member| {
-            let mut score = self.score(member, preference, usual, now);
-            if *member.upstream.failure_domain == *near {
-                score -= NEAR_ADVANTAGE;
-            }
-            (score + rng.random::<f64>() * NEAR_ADVANTAGE, *member)
-        });
-        let (score, member) = scored.min_by(|one, other| one.0.total_cmp(&other.0))?;
-        let usage = self.usage(member, now);
-        Some(Choice {
-            upstream: Arc::clone(&member.upstream),
-            score,
-            in_flight: usage.requests,
-            told: usage.told.map(|load| load.age),
-            candidates: candidates.len(),
-            limit: None,
-        })
-    }
-
-    fn usage<'a>(&self, member: &'a Member, now: Monotonic) -> Usage<'a> {
+    pub(crate) fn usage<'a>(&self, member: &'a Member, now: Monotonic) -> Usage<'a> {
         let told = self.reports.load(member.upstream.address, now);
         let elsewhere = || self.elsewhere.get(&member.tag).copied().unwrap_or(0);
         Usage {
@@ -339,28 +261,6 @@
         }
     }
 
-    /// Returns the score in requests: those before a new one, and what failures and slowness weigh.
-    fn score(
-        &self,
-        member: &Member,
-        preference: Preference,
-        usual: Option<f64>,
-        now: Monotonic,
-    ) -> f64 {
-        let slots = f64::from(member.upstream.slots.max(1));
-        let usage = self.usage(member, now);
-        let load = f64::from(usage.requests);
-        let failures = member.failures(now) * FAILURE_WEIGHT * slots;
-        match preference {
-            Preference::EvenLoad => {
-                // Its own part of a pass is longer even before it runs anything, and all others wait for it.
-                let slowness = usage.told.map_or(1.0, |load| slowness(load.pace));
-                load * slowness + (slowness - 1.0) * slots + failures
-            }
-            Preference::ShortestTime => (load + 1.0) * member.slowness(usual, now) + failures,
-        }
-    }
-
     /// Counts a request that is sent to an upstream.
     pub fn begin(&mut self, id: &str) {
         if let Some(member) = self.members.get_mut(id) {
@@ -389,16 +289,3 @@
         self.members.values().map(|member| &member.upstream)
     }
 }
-
-/// Returns a few of the candidates, drawn by chance.
-///
-/// All gateways see the same loads some hundred milliseconds late; if each took the least loaded rank of all, that
-/// one would be flooded.
-fn some<'a>(candidates: Vec<&'a Member>, rng: &mut impl Rng) -> Vec<&'a Member> {
-    candidates.into_iter().choose_multiple(rng, DRAWN)
-}
-
-fn least_mean(candidates: &[&Member]) -> Option<f64> {
-    let means = candidates.iter().filter_map(|member| member.mean_seconds);
-    means.min_by(f64::total_cmp)
-}
--- a/crates/gateway/tests/all/fleet.rs
+++ b/crates/gateway/tests/all/fleet.rs
@@ -15,8 +15,8 @@
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::Gateway;
 use auburnline_gateway::limit::Consent;
-use auburnline_gateway::neighbour::Beat;
-use auburnline_gateway::neighbour::Entry;
+use auburnline_gateway::message::Beat;
+use auburnline_gateway::message::Entry;
 use auburnline_gateway::neighbour::PERIOD;
 use auburnline_gateway::neighbour::Roster;
 use auburnline_gateway::request::Plan;
@@ -290,7 +290,7 @@
         let (node, local) = self.at(number, now);
         let beat = node.gateway.roster.beat(Vec::new(), local, &mut rng);
         let targets = node.gateway.roster.targets(local, &mut rng);
-        let notices = node.gateway.limit_notices(local);
+        let notices = node.gateway.beat_limits(local);
         let loans = node.gateway.loans(local);
         for target in targets {
             self.send(number, target, Message::Beat(beat.clone()), now);
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -5,7 +5,7 @@
 use auburnline_core::error::Kind;
 use auburnline_gateway::Gateway;
 use auburnline_gateway::gateway::Bounds;
-use auburnline_gateway::neighbour::Entry;
+use auburnline_gateway::message::Entry;
 use auburnline_gateway::neighbour::Roster;
 use auburnline_gateway::request::Admission;
 use auburnline_gateway::request::Plan;
--- a/crates/gateway/tests/all/limit.rs
+++ b/crates/gateway/tests/all/limit.rs
@@ -11,8 +11,8 @@
 use auburnline_core::error::Kind;
 use auburnline_gateway::Gateway;
 use auburnline_gateway::limit::Consent;
-use auburnline_gateway::neighbour::Beat;
-use auburnline_gateway::neighbour::Entry;
+use auburnline_gateway::message::Beat;
+use auburnline_gateway::message::Entry;
 use auburnline_gateway::request::Admission;
 use auburnline_gateway::upstream::State;
 use auburnline_gateway::upstream::Upstream;
@@ -76,7 +76,7 @@
     let now = millis(now);
     let _ = gateway.knowledge.confirm(now, now);
     gateway.roster.beat(Vec::new(), now, &mut rng);
-    gateway.limit_notices(now);
+    gateway.beat_limits(now);
     gateway.loans(now);
 }
 
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use auburnline_gateway::Gateway;
-use auburnline_gateway::neighbour::Beat;
-use auburnline_gateway::neighbour::Entry;
+use auburnline_gateway::message::Beat;
+use auburnline_gateway::message::Entry;
 use auburnline_gateway::pace;
 use auburnline_gateway::pace::Load;
 use auburnline_gateway::report::Reports;
--- a/crates/gateway/tests/all/neighbour.rs
+++ b/crates/gateway/tests/all/neighbour.rs
@@ -1,7 +1,7 @@
 //! Which gateways live.
 
-use auburnline_gateway::neighbour::Beat;
-use auburnline_gateway::neighbour::Entry;
+use auburnline_gateway::message::Beat;
+use auburnline_gateway::message::Entry;
 use auburnline_gateway::neighbour::LIFE;
 use auburnline_gateway::neighbour::Roster;
 use googletest::prelude::*;
--- a/crates/gateway/tests/all/upstream.rs
+++ b/crates/gateway/tests/all/upstream.rs
@@ -1,9 +1,9 @@
 //! Upstreams that may take work.
 
+use auburnline_gateway::choice::Preference;
 use auburnline_gateway::upstream::Change;
 use auburnline_gateway::upstream::Outcome;
 use auburnline_gateway::upstream::Pool;
-use auburnline_gateway::upstream::Preference;
 use auburnline_gateway::upstream::State;
 use auburnline_gateway::upstream::Upstream;
 use auburnline_gateway::upstream::UpstreamId;
--- /dev/null
+++ b/crates/relay/src/assign.rs
@@ -0,0 +1,40 @@
+//! Which upstream the next send of a request goes to.
+
+use auburnline_core::id::GroupId;
+use auburnline_gateway::choice::Choice;
+use auburnline_gateway::request::Refusal;
+use auburnline_gateway::upstream::UpstreamId;
+
+use crate::exchange::Exchange;
+
+impl Exchange {
+    /// Chooses where the next send goes, among upstreams whose limits allow it, and counts it there.
+    pub(crate) async fn assign(
+        &self,
+        group: Option<&GroupId>,
+    ) -> Result<(Choice, GroupId), Refusal> {
+        let mut denied = Vec::new();
+        loop {
+            let choice = self.choose(group, &denied)?;
+            if choice.limit.is_none() || self.is_within_limit(&choice.upstream).await {
+                let group = self.begin(&choice);
+                return Ok((choice, group));
+            }
+            denied.push(choice.upstream.id.clone());
+        }
+    }
+
+    fn choose(&self, group: Option<&GroupId>, denied: &[UpstreamId]) -> Result<Choice, Refusal> {
+        let now = self.shared.now();
+        let mut gateway = self.shared.gateway();
+        gateway.choose_within(group, &self.plan, &self.tried, denied, now)
+    }
+
+    fn begin(&self, choice: &Choice) -> GroupId {
+        let now = self.shared.now();
+        let is_first = self.tried.is_empty();
+        self.shared
+            .gateway()
+            .begin(&self.plan, choice, is_first, now)
+    }
+}
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -6,8 +6,8 @@
 
 use auburnline_core::hash::stable;
 use auburnline_core::time::Monotonic;
-use auburnline_gateway::neighbour::Beat;
-use auburnline_gateway::neighbour::Datagram;
+use auburnline_gateway::message::Beat;
+use auburnline_gateway::message::Datagram;
 use auburnline_gateway::neighbour::MAX_COUNTS;
 use auburnline_gateway::neighbour::PERIOD;
 use auburnline_gateway::route::ServiceId;
@@ -85,7 +85,7 @@
     let message = Datagram::Beat(beat);
     let marks = shared.gateway().quarantine.marks(now);
     let crashes = (!marks.is_empty()).then_some(Datagram::Crashes(marks));
-    let notices = shared.gateway().limit_notices(now);
+    let notices = shared.gateway().beat_limits(now);
     let limits = (!notices.is_empty()).then_some(Datagram::Limits(notices));
     let messages = [Some(message), crashes, limits];
     for target in targets {
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use auburnline_core::error::Kind;
-use auburnline_gateway::neighbour::Datagram;
+use auburnline_gateway::message::Datagram;
 use auburnline_gateway::quarantine::Fingerprint;
 use auburnline_gateway::quarantine::Mark;
 use auburnline_gateway::quarantine::fingerprint;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 //! it gains.
 
 mod answer;
+mod assign;
 mod beats;
 mod callers;
 mod clock;
--- a/crates/relay/src/limit.rs
+++ b/crates/relay/src/limit.rs
@@ -6,7 +6,7 @@
 
 use auburnline_gateway::limit::Consent;
 use auburnline_gateway::limit::News;
-use auburnline_gateway::neighbour::Datagram;
+use auburnline_gateway::message::Datagram;
 use auburnline_gateway::neighbour::MAX_COUNTS;
 use auburnline_gateway::upstream::Upstream;
 use auburnline_http::Reply;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -10,7 +10,7 @@
 use auburnline_duty::program;
 use auburnline_duty::scrape;
 use auburnline_gateway::Gateway;
-use auburnline_gateway::neighbour::Entry;
+use auburnline_gateway::message::Entry;
 use auburnline_gateway::neighbour::Roster;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -11,7 +11,7 @@
 
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::Gateway;
-use auburnline_gateway::neighbour::Datagram;
+use auburnline_gateway::message::Datagram;
 use auburnline_gateway::route::ServiceId;
 use auburnline_gateway::spread::Question;
 use auburnline_gateway::spread::Revision;
--- a/crates/relay/src/tell.rs
+++ b/crates/relay/src/tell.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use auburnline_gateway::choice::Choice;
 use auburnline_gateway::event::EventId;
 use auburnline_gateway::request::Plan;
 use auburnline_gateway::request::Refusal;
-use auburnline_gateway::upstream::Choice;
 use http::Response;
 use metrics::counter;
 use metrics::histogram;
--- a/crates/sidecar/src/sidecar/leading.rs
+++ b/crates/sidecar/src/sidecar/leading.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use auburnline_core::time::Monotonic;
-use auburnline_gateway::neighbour::Datagram;
+use auburnline_gateway::message::Datagram;
 use auburnline_lockstep::change::Order;
 use auburnline_lockstep::collecting::receivers;
 use auburnline_lockstep::coordinator::LEADER;
