Homes of limits can be followed in logs and metrics

Which home a gateway's share of a limit goes to changes what it believes and was told by no line: target=limits msg=home. Counters of permits given and refused by a home, and a histogram of the time to its reply. Tests of a home alone: its part of the limit, loans that lapse, bursts, times to ask again.

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -24,6 +24,7 @@
 use auburnline_quota::home::Reply;
 use auburnline_quota::loan::Lender;
 use auburnline_quota::loan::Loan;
+use auburnline_quota::loan::Outcome;
 use auburnline_quota::loan::Sign;
 use rand::Rng as _;
 
@@ -90,6 +91,8 @@
     closed: HashMap<StartTag, Monotonic>,
     /// Questions so far.
     asks: u64,
+    /// Shares that were lent to another home and are not told in the log yet.
+    moved: Vec<(StartTag, SocketAddr)>,
 }
 
 impl Limits {
@@ -226,8 +229,10 @@
                 heard: home.heard,
                 address: home.entry.peers,
             };
-            if !self.limits.lender.lend(notice.upstream, &sign, now) {
-                continue;
+            match self.limits.lender.lend(notice.upstream, &sign, now) {
+                Outcome::Held => continue,
+                Outcome::Moved => self.limits.moved.push((notice.upstream, sign.address)),
+                Outcome::Renewed => {}
             }
             let loan = loans.entry(home.entry.peers).or_insert_with(|| Loan {
                 lender,
@@ -245,6 +250,21 @@
         loans.flat_map(|(home, loan)| parts(home, &loan)).collect()
     }
 
+    /// Returns the limits whose share went to another home, once each.
+    pub fn take_moved(&mut self, now: Monotonic) -> Vec<Limited> {
+        let moved = std::mem::take(&mut self.limits.moved);
+        let moved = moved.into_iter().filter_map(|(start, home)| {
+            let mut starts = self.pool.starts();
+            let (_, upstream) = starts.find(|(tag, _)| *tag == start)?;
+            Some(Limited {
+                upstream: Arc::clone(upstream),
+                limit: self.limits.book.limit(start, now)?,
+                home,
+            })
+        });
+        moved.collect()
+    }
+
     /// Takes shares that another gateway lends this one; returns what it tells of limits.
     pub fn hear_loan(&mut self, loan: &Loan, from: SocketAddr, now: Monotonic) -> Vec<News> {
         let news = self.hear_limits(&loan.limits, from, now);
--- a/crates/quota/src/loan.rs
+++ b/crates/quota/src/loan.rs
@@ -52,6 +52,17 @@
     pub limits: Vec<Notice>,
 }
 
+/// Whether a share may be lent to a home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It may not: it may still count at another home.
+    Held,
+    /// It is lent there for the first time, or after it was lent to another home.
+    Moved,
+    /// It was lent there before.
+    Renewed,
+}
+
 /// A share that is lent.
 #[derive(Clone, Debug)]
 struct Lent {
@@ -65,27 +76,31 @@
 pub struct Lender(BTreeMap<UpstreamTag, Lent>);
 
 impl Lender {
-    /// Returns whether the share of a limit may be lent to a home on its sign of life, and notes that it is.
-    pub fn lend(&mut self, upstream: UpstreamTag, sign: &Sign<'_>, now: Monotonic) -> bool {
+    /// Lends the share of a limit to a home on its sign of life, if it may be.
+    pub fn lend(&mut self, upstream: UpstreamTag, sign: &Sign<'_>, now: Monotonic) -> Outcome {
         // What this gateway lent before it started anew, it doesn't know.
         if now < LEASE {
-            return false;
+            return Outcome::Held;
         }
         let until = sign.heard + LEASE;
-        let lent = self.0.entry(upstream).or_insert_with(|| Lent {
-            home: sign.home.clone(),
-            address: sign.address,
-            until,
-        });
-        if lent.home != *sign.home {
+        let known = self.0.get_mut(&upstream);
+        if let Some(lent) = known {
+            if lent.home == *sign.home {
+                lent.address = sign.address;
+                lent.until = lent.until.max(until);
+                return Outcome::Renewed;
+            }
             if now < lent.until {
-                return false;
+                return Outcome::Held;
             }
-            lent.home = sign.home.clone();
         }
-        lent.address = sign.address;
-        lent.until = lent.until.max(until);
-        true
+        let lent = Lent {
+            home: sign.home.clone(),
+            address: sign.address,
+            until,
+        };
+        self.0.insert(upstream, lent);
+        Outcome::Moved
     }
 
     /// Returns the address of the home that counts on the share of a limit now: it permits requests until the share goes
--- /dev/null
+++ b/crates/quota/tests/all/home.rs
@@ -0,0 +1,125 @@
+//! Permits of a home, paced by the shares that are lent.
+
+use std::time::Duration;
+
+use auburnline_quota::LenderTag;
+use auburnline_quota::Rate;
+use auburnline_quota::UpstreamTag;
+use auburnline_quota::book::Notice;
+use auburnline_quota::home::Home;
+use auburnline_quota::home::Permit;
+use auburnline_quota::loan::LEASE;
+use auburnline_quota::loan::Loan;
+use googletest::prelude::*;
+
+const UPSTREAM: UpstreamTag = 7;
+const RATE: Rate = 8.0;
+const FLEET: u32 = 4;
+/// Milliseconds between two beats.
+const PERIOD: u64 = 300;
+
+fn millis(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+fn loan(lender: LenderTag, beat: u64, fleet: u32) -> Loan {
+    let notice = Notice {
+        upstream: UPSTREAM,
+        rate: Some(RATE),
+        age_ms: 0,
+    };
+    Loan {
+        lender,
+        fleet,
+        incarnation: 1,
+        beat,
+        limits: vec![notice],
+    }
+}
+
+fn rate(upstream: UpstreamTag) -> Option<Rate> {
+    (upstream == UPSTREAM).then_some(RATE)
+}
+
+/// Asks each ten milliseconds while some gateways lend with each beat; returns how many requests were permitted.
+fn press(home: &mut Home, lenders: u64, from: u64, until: u64) -> usize {
+    let mut granted = 0;
+    for now in (from..until).step_by(10) {
+        if now % PERIOD == 0 {
+            let beat = now / PERIOD;
+            home.sent(beat, millis(now));
+            for lender in 0..lenders {
+                home.borrow(&loan(lender, beat, FLEET), rate, millis(now));
+            }
+        }
+        let permit = home.permit(UPSTREAM, RATE, millis(now));
+        granted += usize::from(permit == Permit::Granted);
+    }
+    granted
+}
+
+#[gtest]
+fn a_home_permits_the_limit_where_all_gateways_lend() {
+    let mut home = Home::default();
+    expect_that!(press(&mut home, 4, 0, 9_000), all![ge(70), le(74)]);
+    expect_that!(home.shares(UPSTREAM), eq((4, FLEET)));
+}
+
+/// Guards against a part of a fleet that permits as much as the whole.
+#[gtest]
+fn a_home_permits_its_part_where_some_gateways_lend() {
+    let mut home = Home::default();
+    expect_that!(press(&mut home, 1, 0, 9_000), all![ge(17), le(20)]);
+}
+
+/// Guards against shares that go on counting after their lenders are out of touch.
+#[gtest]
+fn shares_lapse_a_lease_after_the_beat_that_they_rest_on() {
+    let mut home = Home::default();
+    home.sent(1, millis(1_000));
+    home.borrow(&loan(1, 1, 1), rate, millis(1_500));
+    let lapse = millis(1_000) + LEASE;
+    home.permit(UPSTREAM, RATE, lapse.saturating_sub(millis(1)));
+    expect_that!(home.shares(UPSTREAM).0, eq(1));
+    home.permit(UPSTREAM, RATE, lapse);
+    expect_that!(home.shares(UPSTREAM).0, eq(0));
+}
+
+/// Guards against loans that waited at a gateway while it stood still and are taken for new ones when it wakes.
+#[gtest]
+fn a_loan_that_rests_on_an_old_beat_counts_for_nothing() {
+    let mut home = Home::default();
+    home.sent(1, millis(1_000));
+    let woken = millis(1_000) + LEASE;
+    home.sent(2, woken);
+    home.borrow(&loan(1, 1, 1), rate, woken);
+    expect_that!(home.shares(UPSTREAM).0, eq(0));
+    let denied = home.permit(UPSTREAM, RATE, woken + millis(900));
+    expect_that!(denied, not(eq(Permit::Granted)));
+}
+
+/// Guards against requests that were saved up for a long time and all go out at once.
+#[gtest]
+fn a_home_that_was_not_asked_saves_up_no_more_than_a_burst() {
+    let mut home = Home::default();
+    for now in (0..9_000).step_by(300) {
+        home.sent(now / PERIOD, millis(now));
+        home.borrow(&loan(1, now / PERIOD, 1), rate, millis(now));
+    }
+    let at_once = (0..50).filter(|_| {
+        let permit = home.permit(UPSTREAM, RATE, millis(8_900));
+        permit == Permit::Granted
+    });
+    expect_that!(at_once.count(), all![ge(1), le(2)]);
+}
+
+#[gtest]
+fn who_is_denied_is_told_when_the_next_request_may_go() {
+    let mut home = Home::default();
+    home.sent(0, millis(0));
+    home.borrow(&loan(1, 0, 1), rate, millis(0));
+    let permit = home.permit(UPSTREAM, RATE, millis(25));
+    expect_that!(permit, eq(Permit::Denied { retry_ms: 100 }));
+    let permit = home.permit(UPSTREAM, RATE, millis(125));
+    expect_that!(permit, eq(Permit::Granted));
+}
--- a/crates/quota/tests/all/main.rs
+++ b/crates/quota/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Rate limits that upstreams name.
 
 mod book;
+mod home;
--- a/crates/relay/src/limit.rs
+++ b/crates/relay/src/limit.rs
@@ -16,6 +16,7 @@
 use auburnline_quota::home::Permit;
 use auburnline_quota::loan::Loan;
 use metrics::counter;
+use metrics::histogram;
 use tokio::time::timeout;
 
 use crate::dialect::Limit;
@@ -91,15 +92,24 @@
 
 /// Asks a limit's home whether a request may be sent; none if it does not reply.
 async fn ask_home(shared: &Shared, home: SocketAddr, ask: Ask) -> Option<Permit> {
+    let asked = shared.now();
     let reply = shared.await_permit(ask.number);
     shared.tell(&Datagram::LimitAsk(ask), home);
-    timeout(REPLY, reply).await.ok()?.ok()
+    let permit = timeout(REPLY, reply).await.ok()?.ok();
+    let took = shared.now().saturating_sub(asked);
+    histogram!("auburnline_limit_ask_seconds").record(took);
+    permit
 }
 
 /// Replies to another gateway that asks whether it may send a request.
 pub(crate) fn answer(shared: &Shared, ask: Ask, from: SocketAddr) {
     let now = shared.now();
     let reply = shared.gateway().reply(ask, now);
+    let outcome = match reply.permit {
+        Permit::Granted => "granted",
+        Permit::Denied { .. } => "denied",
+    };
+    counter!("auburnline_limit_permits_total", "outcome" => outcome).increment(1);
     shared.tell(&Datagram::LimitReply(reply), from);
 }
 
@@ -134,7 +144,14 @@
 /// Sends this gateway's shares to the homes of the limits.
 pub(crate) fn lend(shared: &Shared) {
     let now = shared.now();
-    let loans = shared.gateway().loans(now);
+    let mut gateway = shared.gateway();
+    let loans = gateway.loans(now);
+    let moved = gateway.take_moved(now);
+    drop(gateway);
+    for limited in moved {
+        let (upstream, rate) = (&*limited.upstream.id, limited.limit.rate);
+        log::info!(target: "limits", upstream, rate, home:? = limited.home; "home");
+    }
     for (home, loan) in loans {
         shared.tell(&Datagram::Loan(loan), home);
     }
