Limits are tested in waves and where callers use few gateways

Own shares cost no message and no round trip, but what gateways without callers own is lost. The home is kept.

--- a/crates/gateway/tests/all/fleet.rs
+++ b/crates/gateway/tests/all/fleet.rs
@@ -120,6 +120,10 @@
     lives: u32,
     /// When half of the gateways don't reach the other half.
     split: Range<Time>,
+    /// When no caller sends anything.
+    quiet: Range<Time>,
+    /// Gateways that callers use.
+    used: usize,
 }
 
 /// Upstreams that name a limit; one more takes everything.
@@ -157,6 +161,8 @@
             arrived: vec![Vec::new(); LIMITED],
             lives: 0,
             split: Time::ZERO..Time::ZERO,
+            quiet: Time::ZERO..Time::ZERO,
+            used: count,
         };
         for node in 0..count {
             world.boot(node, Time::ZERO);
@@ -337,6 +343,9 @@
 
     fn request(&mut self, number: usize, now: Time) {
         self.next_request(number, now);
+        if self.quiet.contains(&now) || number >= self.used {
+            return;
+        }
         let (node, local) = self.at(number, now);
         let mut denied: Vec<UpstreamId> = Vec::new();
         loop {
@@ -483,6 +492,41 @@
     }
 }
 
+/// Guards against shares that all gateways save up while it is quiet and use in the same moment.
+#[gtest]
+fn a_limit_holds_in_a_wave_of_callers_after_a_quiet_time() {
+    for (count, rate) in FLEETS {
+        let mut world = World::start(count, rate, 1);
+        world.quiet = NAMED + Duration::from_secs(2)..NAMED + Duration::from_secs(7);
+        world.run();
+        for upstream in 0..LIMITED {
+            let most = world.most(upstream);
+            expect_that!(most, le(allowed(rate)), "{count} gateways, {rate}/s");
+        }
+    }
+}
+
+/// Guards against an upstream that is left without work because the gateways that callers use have a small share of its
+/// limit.
+#[gtest]
+fn a_limit_is_used_where_callers_use_few_gateways() {
+    for (count, rate) in FLEETS {
+        let mut world = World::start(count, rate, 1);
+        world.used = 3;
+        world.pause = Duration::from_secs_f64(3.0 / (rate * 40.0).max(60.0));
+        world.run();
+        for upstream in 0..LIMITED {
+            let time = END.saturating_sub(NAMED + STABILITY).as_secs_f64();
+            let half = whole(rate * time / 2.0);
+            expect_that!(
+                world.total(upstream),
+                ge(half),
+                "{count} gateways, {rate}/s"
+            );
+        }
+    }
+}
+
 /// Guards against two halves of a fleet that each permit what the upstream takes in all.
 #[gtest]
 fn a_limit_holds_while_the_fleet_is_split_in_two() {
