--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -64,6 +64,17 @@
     Malformed,
 }
 
+/// What the head of an upstream's answer says of when it takes requests of this gateway again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Backoff {
+    /// At any time.
+    Nothing,
+    /// Not before this time has passed.
+    For(Duration),
+    /// It says something that can't be understood.
+    Malformed,
+}
+
 /// A caller's question which gateways to use.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Question {
@@ -89,6 +100,9 @@
     /// Reads the rate limit that the head of an upstream's answer names.
     fn limit(&self, headers: &HeaderMap) -> Limit;
 
+    /// Reads for how long the head of an upstream's answer asks this gateway to back off.
+    fn backoff(&self, status: http::StatusCode, headers: &HeaderMap) -> Backoff;
+
     /// Adds to the headers of an answer of the gateway's own.
     fn own_answer(&self, headers: &mut HeaderMap, id: &str, retry_after: Option<Duration>);
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod assign;
+mod backoff;
 mod beats;
 mod callers;
 mod clock;
@@ -27,6 +28,7 @@
 mod tell;
 
 pub use clock::Clock;
+pub use dialect::Backoff;
 pub use dialect::Call;
 pub use dialect::Dialect;
 pub use dialect::Limit;
