--- a/crates/relay/src/backoff.rs
+++ b/crates/relay/src/condition.rs
@@ -1,6 +1,7 @@
-//! Upstreams that refuse a request and ask to be left alone for a time.
+//! What an answer says of the condition of its upstream.
 
 use auburnline_http::Reply;
+use http::StatusCode;
 use metrics::counter;
 
 use crate::dialect::Backoff;
@@ -9,8 +10,18 @@
 use crate::tell::millis;
 
 impl Exchange {
-    /// Takes what an answer says of when its upstream wants requests of this gateway again.
-    pub(crate) fn take_backoff(&self, reply: &Reply, flight: &Flight) {
+    /// Takes all that an answer says of its upstream. A misdirected request was answered by another upstream, of which nothing is
+    /// known here.
+    pub(crate) fn take_condition(&self, reply: &Reply, flight: &Flight) {
+        if reply.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        self.take_limit(reply, flight);
+        self.take_backoff(reply, flight);
+        self.take_leaving(reply, flight);
+    }
+
+    fn take_backoff(&self, reply: &Reply, flight: &Flight) {
         let upstream = &**flight.upstream();
         match self.shared.dialect.backoff(reply.status, &reply.headers) {
             Backoff::Nothing => {}
@@ -35,4 +46,12 @@
             }
         }
     }
+
+    fn take_leaving(&self, reply: &Reply, flight: &Flight) {
+        if !self.shared.dialect.is_leaving(&reply.headers) {
+            return;
+        }
+        log::info!(target: "upstreams", request = self.id(), upstream = &**flight.upstream(); "says it leaves");
+        counter!("auburnline_upstreams_leaving_total").increment(1);
+    }
 }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -103,6 +103,9 @@
     /// Reads for how long the head of an upstream's answer asks this gateway to back off.
     fn backoff(&self, status: http::StatusCode, headers: &HeaderMap) -> Backoff;
 
+    /// Returns whether the head of an upstream's answer says that it is about to leave.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Adds to the headers of an answer of the gateway's own.
     fn own_answer(&self, headers: &mut HeaderMap, id: &str, retry_after: Option<Duration>);
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -281,10 +281,7 @@
     }
 
     async fn began(&mut self, reply: Reply, mut flight: Flight) -> Sent {
-        if reply.status != http::StatusCode::MISDIRECTED_REQUEST {
-            self.take_limit(&reply, &flight);
-            self.take_backoff(&reply, &flight);
-        }
+        self.take_condition(&reply, &flight);
         let dialect = &self.shared.dialect;
         match dialect.verdict(reply.status, &reply.headers, self.id()) {
             Verdict::Answer => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,10 +8,10 @@
 
 mod answer;
 mod assign;
-mod backoff;
 mod beats;
 mod callers;
 mod clock;
+mod condition;
 mod crash;
 mod dialect;
 mod exchange;
