An upstream that said in an answer that it leaves gets nothing new

Cause: gateways read from the list alone who leaves, and took each entry at its word. The same cause beside it: an entry that says ready after the upstream was known to leave, written late or from a copy, took the leaving back.

Now a gateway keeps the starts of upstreams that said that they leave, on the list or in any answer but a misdirected one, apart from their entries, and corrects each entry by them. All sends choose among upstreams that take work; a send that waited for a permit looks again.

--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -68,6 +68,15 @@
         self.is_missing = false;
     }
 
+    /// Takes that it leaves.
+    pub(crate) fn leave(&mut self) {
+        let upstream = Upstream {
+            state: State::Draining,
+            ..Upstream::clone(&self.upstream)
+        };
+        self.upstream = Arc::new(upstream);
+    }
+
     /// Returns whether it takes new work.
     pub(crate) fn takes_work(&self) -> bool {
         self.upstream.state == State::Ready
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Upstreams that may take work, and the choice among them.
 //!
-//! A [`Pool`] follows the published list: an upstream that leaves gets no new work from then on, and
+//! A [`Pool`] follows the published list: an upstream that leaves, by the list or by its own answers, gets no new work from then on, and
 //! one that is missing after the store was away is kept for a moment, since it may be written anew. An
 //! address has one upstream: of several that are listed there, all but the newest are gone already.
 //! [`crate::choice`] chooses among them.
@@ -18,6 +18,7 @@
 use serde::Serialize;
 
 use crate::address;
+use crate::departure::Departures;
 use crate::member::Member;
 use crate::quarantine::StartTag;
 use crate::report;
@@ -113,14 +114,16 @@
     /// Sum of the neighbours' counts.
     elsewhere: HashMap<u32, u32>,
     addresses: address::Book,
+    departures: Departures,
     /// What the leads of groups tell.
     pub(crate) reports: Reports,
 }
 
 impl Pool {
     /// Takes an upstream as written to the list.
-    pub fn insert(&mut self, upstream: Upstream) -> Option<Change> {
+    pub fn insert(&mut self, mut upstream: Upstream) -> Option<Change> {
         self.addresses.note(&upstream);
+        self.departures.correct(&mut upstream);
         let known = self.members.get_mut(&upstream.id);
         let known = known.filter(|member| !member.is_earlier_start(&upstream));
         let Some(member) = known else {
@@ -135,6 +138,24 @@
         is_leaving.then(|| Change::Leaving(Arc::clone(&member.upstream)))
     }
 
+    /// Takes that an upstream said itself that it leaves, whatever the list says.
+    pub fn leave(&mut self, upstream: &Upstream) -> Option<Change> {
+        self.departures.note(upstream);
+        let known = self.members.get_mut(&upstream.id);
+        let member = known.filter(|member| !member.is_earlier_start(upstream))?;
+        let was_ready = member.takes_work();
+        member.leave();
+        was_ready.then(|| Change::Leaving(Arc::clone(&member.upstream)))
+    }
+
+    /// Returns whether an upstream takes work.
+    #[must_use]
+    pub fn takes_work(&self, upstream: &Upstream) -> bool {
+        let member = self.members.get(&upstream.id);
+        let member = member.filter(|member| !member.is_earlier_start(upstream));
+        member.is_some_and(Member::takes_work)
+    }
+
     /// Takes the services that the configuration in force names.
     pub fn set_services(&mut self, services: impl IntoIterator<Item = ServiceId>) {
         self.addresses.set_services(services);
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a gateway's decisions.
 
 mod backoff;
+mod departure;
 mod event;
 mod fleet;
 mod gateway;
--- a/crates/relay/src/assign.rs
+++ b/crates/relay/src/assign.rs
@@ -27,11 +27,12 @@
         }
     }
 
-    /// Asks for the permit of an upstream's limit; the upstream may ask for backoff before that is there.
+    /// Asks for the permit of an upstream's limit; the upstream may say that it leaves, or ask for backoff, before that is there.
     async fn is_permitted(&self, upstream: &Arc<Upstream>) -> bool {
         let is_within_limit = self.is_within_limit(upstream).await;
         let now = self.shared.now();
-        is_within_limit && self.shared.gateway().is_open(upstream, now)
+        let gateway = self.shared.gateway();
+        is_within_limit && gateway.pool.takes_work(upstream) && gateway.is_open(upstream, now)
     }
 
     fn choose(&self, group: Option<&GroupId>, denied: &[UpstreamId]) -> Result<Choice, Refusal> {
--- a/crates/relay/src/condition.rs
+++ b/crates/relay/src/condition.rs
@@ -51,6 +51,13 @@
         if !self.shared.dialect.is_leaving(&reply.headers) {
             return;
         }
+        let mut gateway = self.shared.gateway();
+        let change = gateway.pool.leave(flight.target());
+        drop(gateway);
+        if change.is_none() {
+            return;
+        }
+        self.shared.upstreams_changed(change.into_iter().collect());
         log::info!(target: "upstreams", request = self.id(), upstream = &**flight.upstream(); "says it leaves");
         counter!("auburnline_upstreams_leaving_total").increment(1);
     }
