--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -167,6 +167,12 @@
         self.heard > self.read
     }
 
+    /// Returns the revisions of the newest configuration that was heard of and of the one that was read.
+    #[must_use]
+    pub const fn configurations(&self) -> (Revision, Revision) {
+        (self.heard, self.read)
+    }
+
     /// Takes that the store answered.
     pub const fn reach(&mut self) {
         self.misses = 0;
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -67,6 +67,7 @@
 
 fn tick(shared: &Shared, rng: &mut SmallRng) {
     shared.refresh();
+    shared.measure();
     let changes = shared.expire();
     shared.upstreams_changed(changes);
     let now = shared.now();
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -220,6 +220,21 @@
         }
     }
 
+    /// Serves which revisions of the store are known.
+    pub(crate) fn measure(&self) {
+        let gateway = self.gateway();
+        let known = gateway.spread.revision().unwrap_or(0);
+        let (heard, read) = gateway.spread.configurations();
+        drop(gateway);
+        for (of, revision) in [
+            ("store", known),
+            ("configuration_heard", heard),
+            ("configuration_read", read),
+        ] {
+            metrics::gauge!("auburnline_revision", "of" => of).set(real(revision));
+        }
+    }
+
     /// Begins to leave.
     pub(crate) fn leave(&self) {
         if self.left_at.get().is_none() {
@@ -260,3 +275,8 @@
         self.open.get()
     }
 }
+
+#[expect(clippy::cast_precision_loss, reason = "revisions are far below 2^52")]
+fn real(revision: Revision) -> f64 {
+    revision as f64
+}
