Revisions of a restored store are told from those of the store before

Cause: a gateway that does not read the store asks for a configuration if its revision is higher than all that it heard of. The restored store gives lower revisions out again, so they counted as old until it had made up for what it lost. Readers were not affected, since the store's 410 made them read anew; where the revisions pass the known ones before the next question there is no 410, and readers would have missed what lies between.

Ruled out: readers that don't see the restore (they had all versions) and readers that don't tell (nobody became unready).

Now a revision holds the generation of the store that its answers name, and all of a later generation are later. Whoever learns of a newer one, from the store or from another gateway's question or answer, reads all anew; readers tell those who ask them at once. What is of another generation than what is known changes and confirms nothing. The configuration that is kept for others is the one of the highest version.

--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -4,6 +4,10 @@
 //! others ask them and get the changes since the revision that they know, or hear that they must read
 //! all by themselves. An answer counts as asked when the question was sent, less the reader's own
 //! age, so that what was held up on the way never seems younger than it is.
+//!
+//! A store that comes back from a copy gives revisions out again. So a [`Revision`] belongs to a generation of the store, and
+//! nothing of one generation is compared with another by its number alone. A gateway that learns of a newer one, from the store or from
+//! another gateway, reads all anew.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -18,8 +22,19 @@
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamId;
 
-/// Revision of the store; it grows with each change.
-pub type Revision = u64;
+/// Number of the store's present life: it rises each time that the store comes back from a copy.
+pub type Generation = u64;
+
+/// Revision of the store; it grows with each change. All of a later generation are later.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Revision {
+    /// Generation of the store.
+    pub generation: Generation,
+    /// Number within it.
+    pub number: u64,
+}
 
 /// Readers of a failure domain: one may die while another is not yet chosen.
 const READERS: usize = 2;
@@ -103,6 +118,8 @@
 /// State of the spread at one gateway.
 #[derive(Clone, Debug, Default)]
 pub struct Spread {
+    /// Newest generation that was heard of.
+    generation: Generation,
     revision: Option<Revision>,
     /// Revision of the newest configuration that was heard of, and of the one that was read.
     heard: Revision,
@@ -128,12 +145,29 @@
         self.revision
     }
 
-    /// Takes that all was read as of `revision`, and a configuration written at `configuration`.
-    pub fn read_all(&mut self, revision: Revision, configuration: Revision) {
+    /// Takes that the store is of this generation. Returns whether it is a newer one: all that was known is to be read anew then.
+    pub fn renew(&mut self, generation: Generation) -> bool {
+        let is_newer = generation > self.generation;
+        if is_newer {
+            self.generation = generation;
+            self.revision = None;
+            self.changes.clear();
+        }
+        is_newer
+    }
+
+    /// Takes that all was read as of `revision`, and a configuration written at `configuration`; returns whether it is not of an
+    /// earlier generation, which tells nothing.
+    pub fn read_all(&mut self, revision: Revision, configuration: Revision) -> bool {
+        self.renew(revision.generation);
+        if revision.generation < self.generation {
+            return false;
+        }
         self.revision = Some(revision);
         self.read_configuration(configuration);
         self.changes.clear();
         self.kept_after = revision;
+        true
     }
 
     /// Takes that a configuration written at `revision` was read.
@@ -143,12 +177,13 @@
         self.awaited = None;
     }
 
-    /// Keeps a configuration for those who ask.
+    /// Keeps a configuration for those who ask. Versions only grow, while a restored store may have an older one again.
     pub fn keep(&mut self, told: Told) {
+        let order = |told: &Told| (told.content.version, told.revision);
         let is_newer = self
             .told
             .as_ref()
-            .is_none_or(|kept| kept.revision < told.revision);
+            .is_none_or(|kept| order(kept) < order(&told));
         if is_newer {
             self.told = Some(told);
         }
@@ -163,7 +198,7 @@
 
     /// Returns whether a configuration was heard of that is not here yet.
     #[must_use]
-    pub const fn awaits_configuration(&self) -> bool {
+    pub fn awaits_configuration(&self) -> bool {
         self.heard > self.read
     }
 
@@ -193,9 +228,13 @@
         self.revision = None;
     }
 
-    /// Takes changes up to `until`, in order; returns those that are new.
+    /// Takes changes up to `until`, in order; returns those that are new. Changes of another generation than what is known tell
+    /// nothing.
     pub fn take(&mut self, changes: Vec<(Revision, Published)>, until: Revision) -> Vec<Published> {
-        let known = self.revision.unwrap_or(0);
+        let known = self.revision;
+        let Some(known) = known.filter(|known| known.generation == until.generation) else {
+            return Vec::new();
+        };
         let mut new = Vec::new();
         for (revision, change) in changes {
             if revision <= known {
@@ -256,10 +295,20 @@
         })
     }
 
-    /// Returns the changes after `since` for those who did not ask.
+    /// Returns the changes after `since` for those who did not ask. Those who know an earlier generation only learn that there is
+    /// another one.
     #[must_use]
     pub fn since(&self, since: Revision, age: Duration) -> Option<Answer> {
         let known = self.revision?;
+        if since.generation < known.generation {
+            return Some(Answer {
+                number: None,
+                since: known,
+                until: known,
+                age,
+                changes: Vec::new(),
+            });
+        }
         if since < self.kept_after {
             return None;
         }
@@ -285,8 +334,8 @@
         let Some(known) = self.revision else {
             return (Vec::new(), None);
         };
-        if answer.since > known {
-            // Changes between are missing; the next question asks for them.
+        if answer.since > known || answer.until.generation < known.generation {
+            // Changes between are missing, and the next question asks for them; or the reader is behind.
             return (Vec::new(), None);
         }
         let until = answer.until;
--- a/crates/gateway/tests/all/spread.rs
+++ b/crates/gateway/tests/all/spread.rs
@@ -2,6 +2,7 @@
 
 use auburnline_gateway::spread::Need;
 use auburnline_gateway::spread::Published;
+use auburnline_gateway::spread::Revision;
 use auburnline_gateway::spread::Spread;
 use auburnline_gateway::spread::Told;
 use auburnline_gateway::upstream::State;
@@ -9,6 +10,7 @@
 
 use crate::support::content;
 use crate::support::millis;
+use crate::support::revision as at;
 use crate::support::upstream;
 
 fn change(id: &str) -> Published {
@@ -18,7 +20,7 @@
 /// Returns the state of a gateway that read all as of revision 10.
 fn spread() -> Spread {
     let mut spread = Spread::default();
-    spread.read_all(10, 3);
+    spread.read_all(at(10), at(3));
     spread
 }
 
@@ -26,9 +28,9 @@
 fn all_is_read_first_and_again_when_the_history_is_gone() {
     let mut spread = Spread::default();
     assert_that!(spread.need(false, millis(0)), eq(Need::All));
-    spread.read_all(10, 3);
+    spread.read_all(at(10), at(3));
     assert_that!(spread.need(false, millis(0)), eq(Need::Nothing));
-    assert_that!(spread.need(true, millis(0)), eq(Need::Changes(10)));
+    assert_that!(spread.need(true, millis(0)), eq(Need::Changes(at(10))));
     spread.forget();
     assert_that!(spread.need(false, millis(0)), eq(Need::All));
 }
@@ -36,13 +38,13 @@
 #[gtest]
 fn one_that_asks_gets_what_changed_since_and_knows_as_of_its_question() {
     let (mut reader, mut asker) = (spread(), spread());
-    reader.take(vec![(11, change("a")), (12, change("b"))], 12);
+    reader.take(vec![(at(11), change("a")), (at(12), change("b"))], at(12));
     let question = asker.question(millis(5_000)).expect("a question");
     let answer = reader.answer(question, millis(800)).expect("an answer");
     let (new, known_at) = asker.hear(answer);
     assert_that!(new, len(eq(2)));
     assert_that!(known_at, some(eq(millis(4_200))));
-    assert_that!(asker.revision(), some(eq(12)));
+    assert_that!(asker.revision(), some(eq(at(12))));
 }
 
 /// Pattern: a message is held up on its way for seconds. It must not make old knowledge look young.
@@ -59,8 +61,8 @@
 #[gtest]
 fn what_is_told_unasked_is_taken_but_confirms_nothing() {
     let (mut reader, mut asker) = (spread(), spread());
-    reader.take(vec![(11, change("a"))], 11);
-    let told = reader.since(10, millis(0)).expect("an answer");
+    reader.take(vec![(at(11), change("a"))], at(11));
+    let told = reader.since(at(10), millis(0)).expect("an answer");
     let (new, known_at) = asker.hear(told);
     assert_that!(new, len(eq(1)));
     assert_that!(known_at, none());
@@ -69,12 +71,12 @@
 #[gtest]
 fn a_gap_is_not_passed_over() {
     let (mut reader, mut asker) = (spread(), spread());
-    reader.take(vec![(11, change("a"))], 11);
-    reader.take(vec![(12, change("b"))], 12);
-    let told = reader.since(11, millis(0)).expect("an answer");
+    reader.take(vec![(at(11), change("a"))], at(11));
+    reader.take(vec![(at(12), change("b"))], at(12));
+    let told = reader.since(at(11), millis(0)).expect("an answer");
     let (new, _) = asker.hear(told);
     assert_that!(new, is_empty());
-    assert_that!(asker.revision(), some(eq(10)));
+    assert_that!(asker.revision(), some(eq(at(10))));
 }
 
 /// Until a configuration is here, knowledge is not up to date. One that no reader tells is read after 0.9 s, so that it is in
@@ -82,14 +84,14 @@
 #[gtest]
 fn nothing_is_confirmed_before_a_configuration_that_was_heard_of_is_read() {
     let (mut reader, mut asker) = (spread(), spread());
-    reader.take(vec![(11, Published::Configuration)], 11);
+    reader.take(vec![(at(11), Published::Configuration)], at(11));
     let question = asker.question(millis(1_000)).expect("a question");
     let (_, known_at) = asker.hear(reader.answer(question, millis(0)).expect("an answer"));
     assert_that!(known_at, none());
     assert_that!(asker.need(true, millis(1_000)), eq(Need::Configuration));
     assert_that!(asker.need(false, millis(1_899)), eq(Need::Nothing));
     assert_that!(asker.need(false, millis(1_900)), eq(Need::Configuration));
-    asker.read_configuration(11);
+    asker.read_configuration(at(11));
     let question = asker.question(millis(2_000)).expect("a question");
     let (_, known_at) = asker.hear(reader.answer(question, millis(0)).expect("an answer"));
     assert_that!(known_at, some(eq(millis(2_000))));
@@ -97,7 +99,7 @@
 
 fn told(revision: u64) -> Told {
     Told {
-        revision,
+        revision: at(revision),
         content: content(revision, Vec::new()),
     }
 }
@@ -107,15 +109,15 @@
 #[gtest]
 fn a_configuration_is_told_by_a_gateway_that_has_it() {
     let (mut reader, mut asker) = (spread(), spread());
-    reader.take(vec![(11, Published::Configuration)], 11);
+    reader.take(vec![(at(11), Published::Configuration)], at(11));
     reader.keep(told(11));
-    reader.read_configuration(11);
+    reader.read_configuration(at(11));
     let question = asker.question(millis(1_000)).expect("a question");
     assert_that!(reader.told(question), none());
     asker.hear(reader.answer(question, millis(0)).expect("an answer"));
     let question = asker.question(millis(1_300)).expect("a question");
     assert_that!(reader.told(question), some(eq(&told(11))));
-    asker.read_configuration(11);
+    asker.read_configuration(at(11));
     assert_that!(asker.awaits_configuration(), eq(false));
     assert_that!(asker.need(false, millis(9_000)), eq(Need::Nothing));
 }
@@ -125,17 +127,17 @@
 #[gtest]
 fn of_several_configurations_the_newest_is_kept_and_waited_for() {
     let mut asker = spread();
-    asker.take(vec![(11, Published::Configuration)], 11);
+    asker.take(vec![(at(11), Published::Configuration)], at(11));
     assert_that!(asker.need(false, millis(1_000)), eq(Need::Nothing));
-    asker.take(vec![(12, Published::Configuration)], 12);
-    asker.read_configuration(11);
+    asker.take(vec![(at(12), Published::Configuration)], at(12));
+    asker.read_configuration(at(11));
     assert_that!(asker.need(false, millis(1_800)), eq(Need::Nothing));
     assert_that!(asker.need(false, millis(2_600)), eq(Need::Nothing));
     assert_that!(asker.need(false, millis(2_700)), eq(Need::Configuration));
     asker.keep(told(12));
     asker.keep(told(11));
     let mut late = spread();
-    late.take(vec![(12, Published::Configuration)], 12);
+    late.take(vec![(at(12), Published::Configuration)], at(12));
     let question = late.question(millis(0)).expect("a question");
     assert_that!(asker.told(question), some(eq(&told(12))));
 }
@@ -143,7 +145,7 @@
 #[gtest]
 fn a_reader_that_knows_less_confirms_nothing() {
     let (reader, mut asker) = (spread(), spread());
-    asker.take(vec![(14, change("a"))], 14);
+    asker.take(vec![(at(14), change("a"))], at(14));
     let question = asker.question(millis(1_000)).expect("a question");
     let answer = reader.answer(question, millis(0)).expect("an answer");
     let (new, known_at) = asker.hear(answer);
@@ -155,9 +157,9 @@
 fn many_changes_come_in_parts_and_none_is_lost() {
     let (mut reader, mut asker) = (spread(), spread());
     let changes: Vec<_> = (11..=210)
-        .map(|revision| (revision, change(&revision.to_string())))
+        .map(|revision| (at(revision), change(&revision.to_string())))
         .collect();
-    reader.take(changes, 210);
+    reader.take(changes, at(210));
     let mut heard = 0;
     for _ in 0..10 {
         let question = asker.question(millis(1_000)).expect("a question");
@@ -165,7 +167,7 @@
         heard += asker.hear(answer).0.len();
     }
     assert_that!(heard, eq(200));
-    assert_that!(asker.revision(), some(eq(210)));
+    assert_that!(asker.revision(), some(eq(at(210))));
 }
 
 /// Pattern: the store answers nobody for eight seconds. Readers try on, so that its return is seen at once; the others, who are
@@ -181,3 +183,81 @@
     other.reach();
     assert_that!(other.miss(false), eq(millis(250)));
 }
+
+/// Returns a revision of the store's second generation.
+fn restored(number: u64) -> Revision {
+    Revision {
+        generation: 1,
+        ..at(number)
+    }
+}
+
+/// Guards against lower revisions of a restored store that are taken for old ones, and against a configuration that is kept from
+/// those who ask since its revision is lower.
+#[gtest]
+fn a_configuration_of_a_restored_store_is_told_though_its_revision_is_lower() {
+    let (mut reader, mut asker) = (spread(), spread());
+    reader.keep(told(9));
+    for one in [&mut reader, &mut asker] {
+        one.take(vec![(at(90), Published::Configuration)], at(90));
+        one.read_configuration(at(90));
+        expect_that!(one.renew(1), eq(true));
+        expect_that!(one.renew(1), eq(false));
+        expect_that!(one.need(false, millis(0)), eq(Need::All));
+        expect_that!(one.read_all(restored(10), restored(3)), eq(true));
+    }
+    reader.take(vec![(restored(11), Published::Configuration)], restored(11));
+    let newer = Told {
+        revision: restored(11),
+        content: content(91, Vec::new()),
+    };
+    reader.keep(newer.clone());
+    let question = asker.question(millis(1_000)).expect("a question");
+    let (_, known_at) = asker.hear(reader.answer(question, millis(0)).expect("an answer"));
+    expect_that!(known_at, none());
+    let question = asker.question(millis(1_300)).expect("a question");
+    expect_that!(reader.told(question), some(eq(&newer)));
+}
+
+/// Guards against changes of one generation of the store that are counted on to what is known of another one.
+#[gtest]
+fn what_is_told_of_another_generation_changes_nothing() {
+    let (mut old, mut new) = (spread(), spread());
+    new.renew(1);
+    new.read_all(restored(8), restored(3));
+    old.take(vec![(at(11), change("a"))], at(11));
+    // A reader that knows the earlier one only.
+    let question = new.question(millis(1_000)).expect("a question");
+    let (changes, known_at) = new.hear(old.answer(question, millis(0)).expect("an answer"));
+    expect_that!(changes, is_empty());
+    expect_that!(known_at, none());
+    expect_that!(new.take(vec![(at(12), change("b"))], at(12)), is_empty());
+    expect_that!(new.read_all(at(20), at(3)), eq(false));
+    expect_that!(new.revision(), some(eq(restored(8))));
+    // One that knows the later one says no more than that.
+    new.take(vec![(restored(12), change("c"))], restored(12));
+    let question = old.question(millis(1_000)).expect("a question");
+    let answer = new.answer(question, millis(0)).expect("an answer");
+    expect_that!(answer.changes, is_empty());
+    expect_that!(answer.until, eq(restored(12)));
+    expect_that!(old.hear(answer.clone()).1, none());
+    old.renew(answer.until.generation);
+    expect_that!(old.need(false, millis(1_000)), eq(Need::All));
+}
+
+/// Guards against an older version, written again after a restore, that replaces the newest one for those who ask.
+#[gtest]
+fn the_newest_version_is_kept_through_a_restore() {
+    let mut spread = spread();
+    spread.keep(told(20));
+    spread.renew(1);
+    spread.keep(Told {
+        revision: restored(5),
+        content: content(15, Vec::new()),
+    });
+    let mut late = Spread::default();
+    late.read_all(at(4), at(4));
+    late.take(vec![(at(5), Published::Configuration)], at(5));
+    let question = late.question(millis(0)).expect("a question");
+    expect_that!(spread.told(question), some(eq(&told(20))));
+}
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -12,6 +12,7 @@
 use auburnline_gateway::route::Table;
 use auburnline_gateway::route::Target;
 use auburnline_gateway::route::Workspace;
+use auburnline_gateway::spread::Revision;
 use auburnline_gateway::upstream::State;
 use auburnline_gateway::upstream::Upstream;
 
@@ -91,7 +92,15 @@
         failure_domain: Arc::from("north"),
         slots: 12,
         state,
-        appeared: 0,
+        appeared: Revision::default(),
         born: None,
     }
 }
+
+/// Returns a revision of a store that was never restored.
+pub(crate) fn revision(number: u64) -> Revision {
+    Revision {
+        generation: 0,
+        number,
+    }
+}
--- a/crates/gateway/tests/all/upstream.rs
+++ b/crates/gateway/tests/all/upstream.rs
@@ -13,6 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::support::millis;
+use crate::support::revision;
 use crate::support::upstream;
 
 fn pool(count: usize) -> Pool {
@@ -139,7 +140,7 @@
 #[gtest]
 fn of_two_upstreams_at_one_address_only_the_one_that_appeared_last_gets_work() {
     let at = |id: &str, appeared| Upstream {
-        appeared,
+        appeared: revision(appeared),
         ..upstream(id, "desk", State::Ready)
     };
     for order in [["old", "new"], ["new", "old"]] {
@@ -163,7 +164,7 @@
     pool.set_services(["desk".into()]);
     pool.insert(upstream("u0", "desk", State::Ready));
     let mut stranger = upstream("u9", "nowhere", State::Ready);
-    stranger.appeared = 7;
+    stranger.appeared = revision(7);
     pool.insert(stranger);
     assert_that!(pool.ready("desk"), eq(1));
     assert_that!(choose(&pool, Preference::EvenLoad, &[], 0), some(eq("u0")));
@@ -209,7 +210,7 @@
     let mut pool = Pool::default();
     pool.insert(upstream("u0", "desk", State::Ready));
     let mut stranger = upstream("u9", "nowhere", State::Ready);
-    stranger.appeared = 7;
+    stranger.appeared = revision(7);
     pool.insert(stranger);
     pool.set_services(["desk".into()]);
     assert_that!(pool.ready("desk"), eq(1));
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -139,7 +139,10 @@
                 shared.tell(&message, gateway);
             }
         }
-        Ok(Datagram::Question(question)) => shared.answer(question, from),
+        Ok(Datagram::Question(question)) => {
+            Feed(Rc::clone(shared)).renew(question.revision.generation);
+            shared.answer(question, from);
+        }
         Ok(Datagram::Answer(answer)) => Feed(Rc::clone(shared)).hear(answer),
         Ok(Datagram::Configuration(told)) => Feed(Rc::clone(shared)).told(*told),
         Ok(Datagram::Crashes(marks)) => crash::hear(shared, &marks),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -223,7 +223,7 @@
     /// Serves which revisions of the store are known.
     pub(crate) fn measure(&self) {
         let gateway = self.gateway();
-        let known = gateway.spread.revision().unwrap_or(0);
+        let known = gateway.spread.revision().unwrap_or_default();
         let (heard, read) = gateway.spread.configurations();
         drop(gateway);
         for (of, revision) in [
@@ -231,7 +231,8 @@
             ("configuration_heard", heard),
             ("configuration_read", read),
         ] {
-            metrics::gauge!("auburnline_revision", "of" => of).set(real(revision));
+            metrics::gauge!("auburnline_revision", "of" => of).set(real(revision.number));
+            metrics::gauge!("auburnline_generation", "of" => of).set(real(revision.generation));
         }
     }
 
@@ -277,6 +278,6 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "revisions are far below 2^52")]
-fn real(revision: Revision) -> f64 {
-    revision as f64
+fn real(number: u64) -> f64 {
+    number as f64
 }
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -8,6 +8,7 @@
 use auburnline_gateway::route::Content;
 use auburnline_gateway::route::Table;
 use auburnline_gateway::spread::Answer;
+use auburnline_gateway::spread::Generation;
 use auburnline_gateway::spread::Need;
 use auburnline_gateway::spread::Published;
 use auburnline_gateway::spread::Revision;
@@ -88,17 +89,22 @@
         let written = all
             .configuration
             .as_ref()
-            .map_or(0, |(revision, _)| *revision);
+            .map_or_else(Revision::default, |(revision, _)| *revision);
         if let Some((revision, content)) = all.configuration {
             self.take(revision, content);
         }
+        self.renew(all.revision.generation);
         let mut gateway = self.0.gateway();
-        gateway.spread.read_all(all.revision, written);
+        if !gateway.spread.read_all(all.revision, written) {
+            return;
+        }
         let changes = gateway.pool.replace(all.upstreams);
         drop(gateway);
         self.0.upstreams_changed(changes);
         self.confirm(asked);
         self.expire();
+        // Those who know an earlier generation learn of this one.
+        self.0.push(Revision::default());
     }
 
     /// Takes a configuration written at `revision`.
@@ -117,7 +123,8 @@
 
     /// Takes changes up to `until`, as asked for at `asked`, and tells others.
     pub fn changes(&self, changes: Vec<(Revision, Change)>, until: Revision, asked: Monotonic) {
-        let since = self.0.gateway().spread.revision().unwrap_or(0);
+        self.renew(until.generation);
+        let since = self.0.gateway().spread.revision().unwrap_or_default();
         let mut published = Vec::with_capacity(changes.len());
         for (revision, change) in changes {
             let change = match change {
@@ -139,6 +146,23 @@
         }
     }
 
+    /// Takes that the store is of this generation, as it or another gateway said. If it came back from a copy, all is read
+    /// anew, and those who ask this gateway are told so.
+    pub fn renew(&self, generation: Generation) {
+        let mut gateway = self.0.gateway();
+        let before = gateway.spread.revision();
+        if !gateway.spread.renew(generation) {
+            return;
+        }
+        let version = gateway.version();
+        drop(gateway);
+        if before.is_some() {
+            log::info!(target: "store", generation, before:?, version:?; "came back from a copy, reading all anew");
+            metrics::counter!("auburnline_store_restores_total").increment(1);
+        }
+        self.0.news.notify_one();
+    }
+
     /// Takes that the changes after the known revision are gone.
     pub fn forget(&self) {
         log::info!(target: "store", "history gone, reading all anew");
@@ -147,6 +171,7 @@
 
     /// Takes the answer of another gateway that reads the store.
     pub(crate) fn hear(&self, answer: Answer) {
+        self.renew(answer.until.generation);
         let (new, known_at) = self.0.gateway().spread.hear(answer);
         if let Some(known_at) = known_at {
             self.know(known_at);
