A gateway that is behind the others asks them, and starts with the newest configuration that any of them has

Cause: a gateway took what the store says for all there is.

Now beats tell the version that a gateway serves by. One that hears of a newer one than its own for longer than readers take to tell it, or just started, asks a gateway that has it, and takes nothing of the store for up to date before it has it. One that starts waits up to 0.6 s for the word of another one; those that live reply to its first beat at once.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -92,6 +92,10 @@
     pub groups: Groups,
     /// Age of what is known.
     pub knowledge: Knowledge,
+    /// As of when all is known once no other gateway is ahead.
+    pub(crate) unconfirmed: Option<Monotonic>,
+    /// Since when another gateway is ahead.
+    pub(crate) behind_since: Option<Monotonic>,
     /// What was read of the store.
     pub spread: Spread,
     /// Requests that crash what runs them.
@@ -123,6 +127,8 @@
             pool: Pool::default(),
             roster,
             knowledge: Knowledge::new(bounds.revocation),
+            unconfirmed: None,
+            behind_since: None,
             spread: Spread::default(),
             quarantine: Quarantine::default(),
             limits: Limits::default(),
@@ -145,6 +151,7 @@
         }
         let services = table.services().map(|service| Arc::clone(&service.name));
         self.pool.set_services(services);
+        self.roster.set_version(table.version());
         self.table = Some(Arc::new(table));
         true
     }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 
 use crate::quarantine::Mark;
+use crate::route::Version;
 use crate::spread;
 use crate::upstream::Counts;
 
@@ -37,6 +38,8 @@
     pub is_ready: bool,
     /// Whether the store does not answer it.
     pub is_cut: bool,
+    /// Version of the configuration that it serves by; none before it has one.
+    pub version: Option<Version>,
 }
 
 /// What a gateway sends to others.
@@ -67,6 +70,8 @@
     Question(spread::Question),
     /// What changed at the store.
     Answer(spread::Answer),
+    /// Question for a configuration that is newer than this version.
+    Behind(Option<Version>),
     /// A configuration that the receiver waits for.
     Configuration(Box<spread::Told>),
     /// Requests that ran at a crash.
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -19,6 +19,7 @@
 
 use crate::message::Beat;
 use crate::message::Entry;
+use crate::route::Version;
 use crate::spread;
 use crate::upstream::Counts;
 
@@ -121,6 +122,32 @@
         self.me.is_ready
     }
 
+    /// Sets the version of the configuration that this gateway serves by.
+    pub(crate) fn set_version(&mut self, version: Version) {
+        self.me.version = Some(version);
+    }
+
+    /// Returns the newest version that another live gateway serves by, and the address of one that does. Gateways are
+    /// sent to different ones, since a configuration is the longest message.
+    pub(crate) fn newest(&self, now: Monotonic) -> Option<(Version, SocketAddr)> {
+        let live = self.others.values().filter(|known| known.lives(now));
+        let versions = live.filter_map(|known| Some((known.entry.version?, &known.entry)));
+        let newest = versions.max_by_key(|(version, entry)| {
+            (*version, rendezvous(&self.me.instance, &entry.instance))
+        });
+        newest.map(|(version, entry)| (version, entry.peers))
+    }
+
+    /// Returns whether any other gateway was heard of.
+    pub(crate) fn has_heard(&self) -> bool {
+        !self.others.is_empty()
+    }
+
+    /// Returns whether there are others to ask first.
+    pub(crate) fn has_seeds(&self) -> bool {
+        self.seeds.iter().any(|seed| *seed != self.me.peers)
+    }
+
     /// Sets whether the store does not answer this gateway.
     pub fn set_cut(&mut self, is_cut: bool) {
         self.me.is_cut = is_cut;
@@ -257,6 +284,17 @@
         }
     }
 
+    /// Returns the last beat with news of some others, for a gateway that just started.
+    #[must_use]
+    pub fn introduction(&self, now: Monotonic, rng: &mut impl Rng) -> Beat {
+        let live = self.others.values().filter(|known| known.lives(now));
+        let told = live.choose_multiple(rng, TOLD);
+        Beat {
+            others: told.into_iter().map(|known| known.entry.clone()).collect(),
+            ..self.word(Counts::new(), now)
+        }
+    }
+
     /// Returns where to send the next beat.
     pub fn targets(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let live = self.others.values().filter(|known| known.lives(now));
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -19,6 +19,7 @@
 
 use crate::message::Entry;
 use crate::route::Content;
+use crate::route::Version;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamId;
 
@@ -196,6 +197,13 @@
         self.told.as_ref().filter(|told| told.revision > known)
     }
 
+    /// Returns the configuration that is kept, if it is newer than this version.
+    #[must_use]
+    pub fn newer(&self, version: Option<Version>) -> Option<&Told> {
+        let told = self.told.as_ref();
+        told.filter(|told| Some(told.content.version) > version)
+    }
+
     /// Returns whether a configuration was heard of that is not here yet.
     #[must_use]
     pub fn awaits_configuration(&self) -> bool {
--- a/crates/gateway/tests/all/fleet/mod.rs
+++ b/crates/gateway/tests/all/fleet/mod.rs
@@ -187,6 +187,7 @@
             peers: peers(node),
             is_ready: true,
             is_cut: false,
+            version: None,
         };
         let roster = Roster::new(me, (0..3).map(peers).collect());
         let seed = self.rng.random();
--- a/crates/gateway/tests/all/limit.rs
+++ b/crates/gateway/tests/all/limit.rs
@@ -271,6 +271,7 @@
         peers: address,
         is_ready: true,
         is_cut: false,
+        version: None,
     };
     let beat = Beat {
         from,
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -57,6 +57,7 @@
             peers: ([10, 0, 2, 1], number).into(),
             is_ready: true,
             is_cut: false,
+            version: None,
         };
         let beat = Beat {
             from,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -16,3 +16,4 @@
 mod spread;
 mod support;
 mod upstream;
+mod version;
--- a/crates/gateway/tests/all/neighbour.rs
+++ b/crates/gateway/tests/all/neighbour.rs
@@ -21,6 +21,7 @@
         peers: format!("10.0.0.2:{number}").parse().expect("an address"),
         is_ready,
         is_cut: false,
+        version: None,
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/all/version.rs
@@ -0,0 +1,145 @@
+//! Configurations that other gateways serve by and the store does not hold any more.
+
+use std::net::SocketAddr;
+
+use auburnline_gateway::Gateway;
+use auburnline_gateway::gateway::Bounds;
+use auburnline_gateway::message::Beat;
+use auburnline_gateway::message::Entry;
+use auburnline_gateway::neighbour::Roster;
+use auburnline_gateway::route::Version;
+use googletest::prelude::*;
+
+use crate::gateway::BOUNDS;
+use crate::support::millis;
+use crate::support::table;
+
+fn entry(number: u16, version: Option<Version>) -> Entry {
+    Entry {
+        instance: format!("front-{number}").into(),
+        incarnation: 1,
+        beat: 1,
+        failure_domain: "north".into(),
+        callers: ([10, 0, 1, 1], number).into(),
+        peers: peers(number),
+        is_ready: true,
+        is_cut: false,
+        version,
+    }
+}
+
+fn peers(number: u16) -> SocketAddr {
+    ([10, 0, 2, 1], number).into()
+}
+
+/// Returns a gateway that just started, with another one to ask first if there is one.
+fn gateway(seeds: &[SocketAddr]) -> Gateway {
+    let roster = Roster::new(entry(1, None), seeds.to_vec());
+    let bounds: Bounds = BOUNDS;
+    Gateway::new("north".into(), bounds, roster, 7)
+}
+
+fn hear(gateway: &mut Gateway, number: u16, beat: u64, version: Option<Version>, now: u64) {
+    let from = Entry {
+        beat,
+        ..entry(number, version)
+    };
+    let beat = Beat {
+        from,
+        counts: Vec::new(),
+        others: Vec::new(),
+        members: 1,
+    };
+    gateway.roster.hear(&beat, millis(now));
+}
+
+/// Guards against a gateway that serves by what a restored store holds while others serve by what it lost.
+#[gtest]
+fn a_gateway_that_starts_serves_once_it_has_the_newest_version_of_the_others() {
+    let mut gateway = gateway(&[peers(2)]);
+    gateway.set_table(table(15));
+    gateway.confirm(millis(10), millis(20));
+    expect_that!(gateway.is_able(millis(20)), eq(false));
+    hear(&mut gateway, 2, 5, Some(20), 30);
+    gateway.settle(millis(30));
+    expect_that!(gateway.is_able(millis(30)), eq(false));
+    expect_that!(gateway.catch_up(millis(30)), some(eq(peers(2))));
+    gateway.set_table(table(20));
+    gateway.settle(millis(40));
+    expect_that!(gateway.is_able(millis(40)), eq(true));
+    expect_that!(gateway.catch_up(millis(40)), none());
+    // What the store holds again takes nothing back.
+    expect_that!(gateway.set_table(table(15)), eq(false));
+}
+
+/// Guards against gateways that wait for each other after all lost power.
+#[gtest]
+fn a_gateway_that_hears_of_no_newer_version_serves_at_once() {
+    let mut first = gateway(&[peers(2)]);
+    first.set_table(table(15));
+    first.confirm(millis(10), millis(20));
+    hear(&mut first, 2, 1, None, 50);
+    first.settle(millis(50));
+    expect_that!(first.is_able(millis(50)), eq(true));
+    let mut alone = gateway(&[peers(1)]);
+    alone.set_table(table(15));
+    alone.confirm(millis(10), millis(20));
+    expect_that!(alone.is_able(millis(20)), eq(true));
+}
+
+#[gtest]
+fn a_gateway_whose_seeds_are_all_down_serves_after_a_moment() {
+    let mut gateway = gateway(&[peers(2)]);
+    gateway.set_table(table(15));
+    gateway.confirm(millis(10), millis(20));
+    gateway.settle(millis(599));
+    expect_that!(gateway.is_able(millis(599)), eq(false));
+    gateway.settle(millis(600));
+    expect_that!(gateway.is_able(millis(600)), eq(true));
+}
+
+/// Pattern: a configuration changes before hundreds of gateways, and readers tell it within some hundred milliseconds. One that
+/// asked another gateway at once would get it twice.
+#[gtest]
+fn a_gateway_that_serves_leaves_time_to_the_readers_and_then_asks() {
+    let mut gateway = gateway(&[peers(2)]);
+    gateway.set_table(table(15));
+    hear(&mut gateway, 2, 5, Some(15), 10);
+    gateway.confirm(millis(10), millis(20));
+    hear(&mut gateway, 2, 6, Some(20), 1_000);
+    expect_that!(gateway.catch_up(millis(1_000)), none());
+    hear(&mut gateway, 2, 7, Some(20), 1_800);
+    expect_that!(gateway.catch_up(millis(1_899)), none());
+    expect_that!(gateway.catch_up(millis(1_900)), some(eq(peers(2))));
+    // What the store confirms meanwhile does not make the older version young.
+    hear(&mut gateway, 2, 8, Some(20), 4_700);
+    gateway.confirm(millis(4_700), millis(4_710));
+    expect_that!(
+        gateway.knowledge.age(millis(4_710)),
+        some(eq(millis(4_700)))
+    );
+    // One that is gone keeps nobody waiting.
+    gateway.settle(millis(9_000));
+    expect_that!(
+        gateway.knowledge.age(millis(9_000)),
+        some(eq(millis(4_300)))
+    );
+}
+
+/// Guards against all gateways asking the same one for the longest message there is.
+#[gtest]
+fn gateways_that_are_behind_ask_different_ones() {
+    let mut asked: Vec<_> = (1..=9)
+        .map(|number| {
+            let roster = Roster::new(entry(number, None), vec![peers(20)]);
+            let mut gateway = Gateway::new("north".into(), BOUNDS, roster, 7);
+            for other in 20..40 {
+                hear(&mut gateway, other, 5, Some(20), 10);
+            }
+            gateway.catch_up(millis(20)).expect("one that is ahead")
+        })
+        .collect();
+    asked.sort_unstable();
+    asked.dedup();
+    expect_that!(asked.len(), gt(4));
+}
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -35,6 +35,9 @@
 /// than the bound on revocation, and removals are known well within the bound on draining.
 const QUESTION_BEATS: u64 = 2;
 
+/// Number of the first beat of a process.
+const FIRST_BEAT: u64 = 1;
+
 /// Sends beats at a steady pace and takes those of others.
 pub(crate) async fn run(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let mut rng = SmallRng::from_os_rng();
@@ -94,12 +97,26 @@
         present.for_each(|message| shared.tell(message, target));
     }
     limit::lend(shared);
+    catch_up(shared, now);
     let is_awaiting = shared.gateway().spread.awaits_configuration();
     if is_awaiting || beats.is_multiple_of(QUESTION_BEATS) {
         ask(shared, now);
     }
 }
 
+/// Asks a gateway that serves by a newer configuration for it.
+fn catch_up(shared: &Shared, now: Monotonic) {
+    let mut gateway = shared.gateway();
+    let Some(ahead) = gateway.catch_up(now) else {
+        return;
+    };
+    let version = gateway.version();
+    drop(gateway);
+    log::info!(target: "store", version:?, ahead:?; "behind another gateway");
+    metrics::counter!("auburnline_configurations_behind_total").increment(1);
+    shared.tell(&Datagram::Behind(version), ahead);
+}
+
 /// Asks the readers what changed, unless this gateway is one.
 fn ask(shared: &Shared, now: Monotonic) {
     let mut gateway = shared.gateway();
@@ -126,7 +143,7 @@
 
 fn hear(shared: &Rc<Shared>, bytes: &[u8], from: SocketAddr) {
     match postcard::from_bytes(bytes) {
-        Ok(Datagram::Beat(beat)) => take(shared, beat),
+        Ok(Datagram::Beat(beat)) => take(shared, beat, from),
         Ok(Datagram::Ask(ask)) => {
             let members = shared.gateway().members(&ask, shared.now());
             shared.tell(&Message::Members(members), from);
@@ -143,6 +160,12 @@
             Feed(Rc::clone(shared)).renew(question.revision.generation);
             shared.answer(question, from);
         }
+        Ok(Datagram::Behind(version)) => {
+            let told = shared.gateway().spread.newer(version).cloned();
+            if let Some(told) = told {
+                shared.tell(&Datagram::Configuration(Box::new(told)), from);
+            }
+        }
         Ok(Datagram::Answer(answer)) => Feed(Rc::clone(shared)).hear(answer),
         Ok(Datagram::Configuration(told)) => Feed(Rc::clone(shared)).told(*told),
         Ok(Datagram::Crashes(marks)) => crash::hear(shared, &marks),
@@ -172,12 +195,31 @@
     }
 }
 
-fn take(shared: &Shared, beat: Beat) {
+fn take(shared: &Shared, beat: Beat, from: SocketAddr) {
     let now = shared.now();
+    let is_first = beat.from.beat == FIRST_BEAT && beat.from.peers == from;
     let mut gateway = shared.gateway();
     for news in gateway.roster.hear(&beat, now) {
         log::info!(target: "neighbours", instance = &*news.instance, is_ready = news.is_ready; "heard");
     }
     let neighbour = stable(0, beat.from.instance.as_bytes());
     gateway.pool.set_elsewhere(neighbour, beat.counts, now);
+    let is_new_here = gateway.knowledge.age(now).is_none();
+    drop(gateway);
+    if is_first {
+        introduce(shared, from, now);
+    }
+    if is_new_here {
+        catch_up(shared, now);
+        shared.refresh();
+    }
+}
+
+/// Tells a gateway that just started of this one and some others, so that it need not wait for their beats.
+fn introduce(shared: &Shared, to: SocketAddr, now: Monotonic) {
+    let word = shared
+        .gateway()
+        .roster
+        .introduction(now, &mut SmallRng::from_os_rng());
+    shared.tell(&Datagram::Beat(word), to);
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -74,6 +74,7 @@
         peers: settings.peers,
         is_ready: false,
         is_cut: false,
+        version: None,
     };
     let roster = Roster::new(entry, settings.seeds.clone());
     let domain = settings.failure_domain.as_str().into();
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -212,6 +212,7 @@
     pub(crate) fn refresh(&self) {
         let now = self.now();
         let mut gateway = self.gateway();
+        gateway.settle(now);
         let is_ready = gateway.is_able(now) && !self.is_leaving();
         if gateway.roster.set_ready(is_ready) {
             let age = gateway.knowledge.age(now).unwrap_or_default();
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -192,7 +192,7 @@
     /// Takes that nothing older than `known_at` is unknown.
     fn know(&self, known_at: Monotonic) {
         let now = self.now();
-        let change = self.0.gateway().knowledge.confirm(known_at, now);
+        let change = self.0.gateway().confirm(known_at, now);
         if change == knowledge::Change::Regained {
             let age_ms = millis(now.saturating_sub(known_at));
             log::info!(target: "store", age_ms; "regained");
