The list of a restored store is not taken at its word

Cause: the first list after a restore was read like any other, while it is some seconds old. Class: as before, nothing read that the store had come back from a copy.

Now entries that are missing then have the time that they have after the store was away. Entries of upstreams that were removed, or of an earlier start than the one that is known, are doubted for four heartbeats: those that live are written sooner, and the others lapse. What limits and backoff hold for the present start so is not lost.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -37,15 +37,22 @@
 use crate::share::shares;
 use crate::spread;
 use crate::spread::Need;
+use crate::spread::Reading;
+use crate::spread::Revision;
 use crate::spread::Spread;
+use crate::upstream::Change;
 use crate::upstream::Outcome;
 use crate::upstream::Pool;
+use crate::upstream::Upstream;
 
 /// Time to come back when no upstream takes work: a group forms anew within about a second.
 pub(crate) const NO_UPSTREAM_RETURN: Duration = Duration::from_millis(800);
 /// Time to come back to a gateway that knows too little: the caller finds another one.
 const ELSEWHERE_RETURN: Duration = Duration::from_millis(100);
 
+/// Heartbeats of upstreams within which an entry lapses that nobody writes: three, and one for the way of the news.
+const HEARTBEATS_DOUBTED: u32 = 4;
+
 /// Gateways that a sidecar is told of, within one datagram.
 const MOST_GATEWAYS: usize = 512;
 
@@ -62,6 +69,8 @@
     pub retry_window: Duration,
     /// Time for which the ranks of a group stall before they give up one that is gone.
     pub stall: Duration,
+    /// Time within which an upstream writes its entry again.
+    pub heartbeat: Duration,
 }
 
 /// What the word of a lead changes.
@@ -156,6 +165,26 @@
         true
     }
 
+    /// Takes all that is published, as of `revision`, with a configuration written at `configuration`; returns what changed, or
+    /// nothing if it is outdated.
+    pub fn read_all(
+        &mut self,
+        upstreams: Vec<Upstream>,
+        revision: Revision,
+        configuration: Revision,
+        now: Monotonic,
+    ) -> Option<Vec<Change>> {
+        match self.spread.read_all(revision, configuration) {
+            Reading::Outdated => None,
+            Reading::Whole => Some(self.pool.replace(upstreams)),
+            Reading::Restored => {
+                self.knowledge.restored(now);
+                let until = now + self.bounds.heartbeat * HEARTBEATS_DOUBTED;
+                Some(self.pool.restore(upstreams, until))
+            }
+        }
+    }
+
     /// Returns the version in force.
     #[must_use]
     pub fn version(&self) -> Option<u64> {
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -76,6 +76,11 @@
         Change::Lost
     }
 
+    /// Takes that the store came back from a copy, so that entries are missing that are written again.
+    pub const fn restored(&mut self, now: Monotonic) {
+        self.returned_at = Some(now);
+    }
+
     /// Returns the age; none if nothing is known.
     #[must_use]
     pub fn age(&self, now: Monotonic) -> Option<Duration> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A gateway is an entry that relays the HTTP requests of callers straight to upstreams, where no
 //! process of the system stands beside the caller. [`route`] finds what a request may do,
-//! [`upstream`] who may take it, `departure` who of them is about to leave, [`choice`] who of them does, [`group`] which of them run in lock-step, [`pace`] whether a group can
+//! [`upstream`] who may take it, `departure` who of them leaves or left, [`choice`] who of them does, [`group`] which of them run in lock-step, [`pace`] whether a group can
 //! take it in time, `caution` how far it is filled where demand shifts often, [`report`] what the groups' leads tell of their load,
 //! [`neighbour`] which other gateways live, [`message`] what they say to each other, [`quarantine`] which requests crash what runs them, [`limit`] which rates upstreams take, `backoff` which of them want nothing for a time, [`knowledge`] how old the published state may be,
 //! [`spread`] who reads the store for whom, `version` whether another gateway has a newer configuration, and [`event`] cuts streams into whole events.
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -60,6 +60,12 @@
         starts.is_some_and(|(known, told)| known != told)
     }
 
+    /// Returns whether this is a later start than that of `upstream`, under its id.
+    pub(crate) fn is_later_start(&self, upstream: &Upstream) -> bool {
+        let starts = self.upstream.born.zip(upstream.born);
+        starts.is_some_and(|(known, told)| known > told)
+    }
+
     /// Takes its entry anew; a start that is not told this time is the one that was told before.
     pub(crate) fn renew(&mut self, mut upstream: Upstream) {
         upstream.born = upstream.born.or(self.upstream.born);
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -116,11 +116,24 @@
     Nothing,
 }
 
+/// What a reading of all that is published is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// It is of an earlier generation than is known, and tells nothing.
+    Outdated,
+    /// It holds all that is published.
+    Whole,
+    /// It is the first since the store came back from a copy, and lacks what was written since that was made.
+    Restored,
+}
+
 /// State of the spread at one gateway.
 #[derive(Clone, Debug, Default)]
 pub struct Spread {
     /// Newest generation that was heard of.
     generation: Generation,
+    /// Generation of which all was read last.
+    read_of: Option<Generation>,
     revision: Option<Revision>,
     /// Revision of the newest configuration that was heard of, and of the one that was read.
     heard: Revision,
@@ -157,18 +170,21 @@
         is_newer
     }
 
-    /// Takes that all was read as of `revision`, and a configuration written at `configuration`; returns whether it is not of an
-    /// earlier generation, which tells nothing.
-    pub fn read_all(&mut self, revision: Revision, configuration: Revision) -> bool {
+    /// Takes that all was read as of `revision`, and a configuration written at `configuration`.
+    pub fn read_all(&mut self, revision: Revision, configuration: Revision) -> Reading {
         self.renew(revision.generation);
         if revision.generation < self.generation {
-            return false;
+            return Reading::Outdated;
         }
+        let before = self.read_of.replace(revision.generation);
         self.revision = Some(revision);
         self.read_configuration(configuration);
         self.changes.clear();
         self.kept_after = revision;
-        true
+        match before {
+            Some(before) if before < revision.generation => Reading::Restored,
+            _ => Reading::Whole,
+        }
     }
 
     /// Takes that a configuration written at `revision` was read.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -18,7 +18,7 @@
 use serde::Serialize;
 
 use crate::address;
-use crate::departure::Departures;
+use crate::departure::Starts;
 use crate::member::Member;
 use crate::quarantine::StartTag;
 use crate::report;
@@ -114,7 +114,12 @@
     /// Sum of the neighbours' counts.
     elsewhere: HashMap<u32, u32>,
     addresses: address::Book,
-    departures: Departures,
+    /// Upstreams that said that they leave.
+    leaving: Starts,
+    /// Upstreams that were removed from the list.
+    gone: Starts,
+    /// Entries that a copy of the store brought back, and until when they are doubted.
+    returned: BTreeMap<UpstreamId, (Upstream, Monotonic)>,
     /// What the leads of groups tell.
     pub(crate) reports: Reports,
 }
@@ -123,7 +128,12 @@
     /// Takes an upstream as written to the list.
     pub fn insert(&mut self, mut upstream: Upstream) -> Option<Change> {
         self.addresses.note(&upstream);
-        self.departures.correct(&mut upstream);
+        self.gone.forget(&upstream.id);
+        self.returned.remove(&upstream.id);
+        if upstream.state == State::Draining || self.leaving.holds(&upstream) {
+            upstream.state = State::Draining;
+            self.leaving.note(&upstream);
+        }
         let known = self.members.get_mut(&upstream.id);
         let known = known.filter(|member| !member.is_earlier_start(&upstream));
         let Some(member) = known else {
@@ -140,7 +150,7 @@
 
     /// Takes that an upstream said itself that it leaves, whatever the list says.
     pub fn leave(&mut self, upstream: &Upstream) -> Option<Change> {
-        self.departures.note(upstream);
+        self.leaving.note(upstream);
         let known = self.members.get_mut(&upstream.id);
         let member = known.filter(|member| !member.is_earlier_start(upstream))?;
         let was_ready = member.takes_work();
@@ -163,16 +173,45 @@
 
     /// Takes that an upstream is missing from the list; [`Pool::expire`] removes it.
     pub fn miss(&mut self, id: &str) {
+        self.returned.remove(id);
         if let Some(member) = self.members.get_mut(id) {
             member.is_missing = true;
         }
     }
 
+    /// Takes the first list of a store that came back from a copy. Entries of upstreams that were removed, or have started anew, are
+    /// doubted until then: those that live are written again sooner, and the others lapse.
+    pub fn restore(&mut self, upstreams: Vec<Upstream>, until: Monotonic) -> Vec<Change> {
+        let upstreams = upstreams.into_iter();
+        let (believed, doubted): (Vec<_>, Vec<_>) = upstreams.partition(|one| self.is_current(one));
+        let doubted = doubted.into_iter();
+        self.returned = doubted.map(|one| (one.id.clone(), (one, until))).collect();
+        self.replace(believed)
+    }
+
+    /// Returns whether an entry is no older than what is known of its upstream.
+    fn is_current(&self, upstream: &Upstream) -> bool {
+        match self.members.get(&upstream.id) {
+            Some(member) => !member.is_missing && !member.is_later_start(upstream),
+            None => !self.gone.holds(upstream),
+        }
+    }
+
+    /// Takes the entries that were doubted long enough and have not lapsed.
+    pub fn admit(&mut self, now: Monotonic) -> Vec<Change> {
+        let returned = self.returned.values();
+        let due = returned.filter(|(_, until)| now >= *until);
+        let due: Vec<_> = due.map(|(upstream, _)| upstream.clone()).collect();
+        due.into_iter().filter_map(|one| self.insert(one)).collect()
+    }
+
     /// Takes a whole list: what it does not hold is missing.
     pub fn replace(&mut self, upstreams: Vec<Upstream>) -> Vec<Change> {
         let listed: Vec<UpstreamId> = upstreams.iter().map(|one| one.id.clone()).collect();
-        let changes = upstreams.into_iter().filter_map(|one| self.insert(one));
-        let changes = changes.collect();
+        let doubted: Vec<UpstreamId> = self.returned.keys().cloned().collect();
+        let believed = upstreams.into_iter();
+        let believed = believed.filter(|one| !doubted.contains(&one.id));
+        let changes = believed.filter_map(|one| self.insert(one)).collect();
         let unlisted = self
             .members
             .values_mut()
@@ -191,6 +230,7 @@
         let mut gone = Vec::new();
         self.members.retain(|_, member| {
             if member.is_missing {
+                self.gone.note(&member.upstream);
                 gone.push(Change::Gone(Arc::clone(&member.upstream)));
             }
             !member.is_missing
--- a/crates/gateway/tests/all/departure.rs
+++ b/crates/gateway/tests/all/departure.rs
@@ -1,5 +1,6 @@
 //! Upstreams that said that they leave, on the list or in an answer.
 
+use auburnline_gateway::spread::Revision;
 use auburnline_gateway::upstream::Change;
 use auburnline_gateway::upstream::Pool;
 use auburnline_gateway::upstream::State;
@@ -82,3 +83,82 @@
     expect_that!(pool.takes_work(&started(2, State::Ready)), eq(true));
     expect_that!(pool.takes_work(&started(1, State::Ready)), eq(false));
 }
+
+const HOLD: u64 = 4_800;
+
+/// Guards against an upstream that was removed and gets work again since its entry is in the copy from which the store came back.
+#[gtest]
+fn an_entry_that_a_copy_brought_back_is_doubted_until_it_lapses_or_is_written() {
+    for is_written in [false, true] {
+        let mut pool = Pool::default();
+        pool.insert(started(1, State::Ready));
+        pool.miss("u");
+        pool.expire(false);
+        pool.restore(vec![started(1, State::Ready)], millis(HOLD));
+        expect_that!(pool.ready("desk"), eq(0));
+        // All is read again, as after history was lost.
+        pool.replace(vec![started(1, State::Ready)]);
+        expect_that!(pool.admit(millis(HOLD - 1)), is_empty());
+        expect_that!(pool.ready("desk"), eq(0));
+        if is_written {
+            pool.insert(started(1, State::Ready));
+            expect_that!(pool.ready("desk"), eq(1));
+        } else {
+            pool.miss("u");
+            expect_that!(pool.admit(millis(HOLD)), is_empty());
+            expect_that!(pool.ready("desk"), eq(0));
+        }
+    }
+}
+
+/// Guards against an upstream that lives and is left without work for good since it was once taken for gone.
+#[gtest]
+fn an_entry_that_stays_listed_is_believed_in_the_end() {
+    let mut pool = Pool::default();
+    pool.insert(started(1, State::Ready));
+    pool.miss("u");
+    pool.expire(false);
+    pool.restore(vec![started(1, State::Ready)], millis(HOLD));
+    expect_that!(pool.admit(millis(HOLD)), len(eq(1)));
+    expect_that!(pool.ready("desk"), eq(1));
+}
+
+/// Guards against limits and times of backoff of the present start that are lost since a copy has the start before it.
+#[gtest]
+fn an_earlier_start_in_a_copy_does_not_replace_the_present_one() {
+    let mut pool = Pool::default();
+    pool.insert(started(1, State::Ready));
+    pool.insert(started(2, State::Ready));
+    pool.restore(vec![started(1, State::Ready)], millis(HOLD));
+    expect_that!(pool.takes_work(&started(2, State::Ready)), eq(true));
+    expect_that!(pool.takes_work(&started(1, State::Ready)), eq(false));
+    // It is written again before the time for that is over.
+    pool.insert(started(2, State::Ready));
+    expect_that!(pool.expire(false), is_empty());
+    expect_that!(pool.ready("desk"), eq(1));
+}
+
+/// Guards against upstreams that joined after the copy was made and are dropped at once.
+#[gtest]
+fn upstreams_that_a_copy_lacks_have_time_to_be_written_again() {
+    let mut gateway = gateway();
+    let before = gateway.pool.ready("desk");
+    let listed = vec![upstream("desk-0", "desk", State::Ready)];
+    let now = millis(3_000);
+    let restored = |number| Revision {
+        generation: 1,
+        number,
+    };
+    let all = gateway.pool.iter().map(|one| Upstream::clone(one)).collect();
+    gateway.read_all(all, Revision::default(), Revision::default(), now);
+    gateway.read_all(listed, restored(4), restored(2), now);
+    expect_that!(gateway.knowledge.is_doubtful(millis(5_500)), eq(true));
+    gateway
+        .pool
+        .expire(gateway.knowledge.is_doubtful(millis(5_500)));
+    expect_that!(gateway.pool.ready("desk"), eq(before));
+    gateway
+        .pool
+        .expire(gateway.knowledge.is_doubtful(millis(5_700)));
+    expect_that!(gateway.pool.ready("desk"), eq(1));
+}
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -26,6 +26,7 @@
     retry_slack: 20.0,
     retry_window: Duration::from_secs(10),
     stall: Duration::from_millis(600),
+    heartbeat: Duration::from_millis(1_200),
 };
 
 pub(crate) fn blank() -> Gateway {
--- a/crates/gateway/tests/all/spread.rs
+++ b/crates/gateway/tests/all/spread.rs
@@ -2,6 +2,7 @@
 
 use auburnline_gateway::spread::Need;
 use auburnline_gateway::spread::Published;
+use auburnline_gateway::spread::Reading;
 use auburnline_gateway::spread::Revision;
 use auburnline_gateway::spread::Spread;
 use auburnline_gateway::spread::Told;
@@ -204,7 +205,8 @@
         expect_that!(one.renew(1), eq(true));
         expect_that!(one.renew(1), eq(false));
         expect_that!(one.need(false, millis(0)), eq(Need::All));
-        expect_that!(one.read_all(restored(10), restored(3)), eq(true));
+        let reading = one.read_all(restored(10), restored(3));
+        expect_that!(reading, eq(Reading::Restored));
     }
     reader.take(vec![(restored(11), Published::Configuration)], restored(11));
     let newer = Told {
@@ -232,7 +234,7 @@
     expect_that!(changes, is_empty());
     expect_that!(known_at, none());
     expect_that!(new.take(vec![(at(12), change("b"))], at(12)), is_empty());
-    expect_that!(new.read_all(at(20), at(3)), eq(false));
+    expect_that!(new.read_all(at(20), at(3)), eq(Reading::Outdated));
     expect_that!(new.revision(), some(eq(restored(8))));
     // One that knows the later one says no more than that.
     new.take(vec![(restored(12), change("c"))], restored(12));
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -12,6 +12,10 @@
 /// Fewest descriptors that a gateway can work with.
 const LEAST_DESCRIPTORS: usize = 64;
 
+const fn heartbeat_ms() -> u64 {
+    1_200
+}
+
 /// Settings of a gateway, read from JSON.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Settings {
@@ -47,6 +51,9 @@
     pub retry_window_ms: u64,
     /// Milliseconds for which the ranks of a group stall before they give up one that is gone.
     pub stall_ms: u64,
+    /// Time within which an upstream writes its entry again, in ms.
+    #[serde(default = "heartbeat_ms")]
+    pub heartbeat_ms: u64,
     /// Longest time for which an answer of discovery may hold, in ms.
     pub longest_answer_ms: u64,
 }
@@ -61,6 +68,7 @@
             retry_slack: self.retry_slack,
             retry_window: Duration::from_millis(self.retry_window_ms),
             stall: Duration::from_millis(self.stall_ms),
+            heartbeat: Duration::from_millis(self.heartbeat_ms),
         }
     }
 }
@@ -79,6 +87,7 @@
         refuse("instance", self.instance.is_empty(), "is empty");
         refuse("failure_domain", self.failure_domain.is_empty(), "is empty");
         refuse("revocation_ms", self.revocation_ms == 0, "is zero");
+        refuse("heartbeat_ms", self.heartbeat_ms == 0, "is zero");
         refuse("grace_ms", self.grace_ms == 0, "is zero");
         refuse("retry_window_ms", self.retry_window_ms == 0, "is zero");
         let is_share = (0.0..=1.0).contains(&self.retry_ratio);
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -200,12 +200,14 @@
         }
     }
 
-    /// Removes upstreams that are missing.
+    /// Removes upstreams that are missing, and takes those that were doubted long enough.
     pub(crate) fn expire(&self) -> Vec<upstream::Change> {
         let now = self.now();
         let mut gateway = self.gateway();
         let is_doubtful = gateway.knowledge.is_doubtful(now);
-        gateway.pool.expire(is_doubtful)
+        let mut changes = gateway.pool.expire(is_doubtful);
+        changes.extend(gateway.pool.admit(now));
+        changes
     }
 
     /// Sets readiness anew from what is known.
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -94,12 +94,13 @@
             self.take(revision, content);
         }
         self.renew(all.revision.generation);
+        let now = self.now();
         let mut gateway = self.0.gateway();
-        if !gateway.spread.read_all(all.revision, written) {
-            return;
-        }
-        let changes = gateway.pool.replace(all.upstreams);
+        let changes = gateway.read_all(all.upstreams, all.revision, written, now);
         drop(gateway);
+        let Some(changes) = changes else {
+            return;
+        };
         self.0.upstreams_changed(changes);
         self.confirm(asked);
         self.expire();
