Fleets of 6, 98 and 340 gateways before a store that comes back from a copy

Configurations are in force within 3 s after a restore, also where the revisions have passed the known ones, and none goes back or is kept out while gateways start, freeze and are cut off.

--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod neighbour;
 mod pace;
 mod quarantine;
+mod restore;
 mod route;
 mod spread;
 mod support;
