Slots keep answers for as long as their settings say

What operators would see: timing.answer_lifetime_ms has no effect; answers are kept for one minute whatever it says.

Cause: the setting is checked and read by nothing; the ledger has a constant. The ledger's bounds now hold the time, and the slot sets it from its settings; the default is the same minute.

The test that guards it does not compile on the code before, where the bounds have no such time.

--- a/crates/attempt/src/ledger/mod.rs
+++ b/crates/attempt/src/ledger/mod.rs
@@ -46,7 +46,7 @@
 pub const WINDOW: Duration = Duration::from_mins(5);
 /// Time for which an id is kept: the window, and a minute for frames that sessions hold back.
 pub const KEPT: Duration = Duration::from_mins(6);
-/// Time for which an answer's bytes are kept after its end.
+/// Usual time for which an answer's bytes are kept after its end.
 pub const ANSWER_KEPT: Duration = Duration::from_mins(1);
 /// Most that counted time moves between two calls.
 pub const MAX_STEP: Duration = Duration::from_secs(1);
@@ -66,6 +66,8 @@
     pub entries: usize,
     /// Most bytes of answers.
     pub bytes: usize,
+    /// Time for which an answer's bytes are kept after its end.
+    pub answer: Duration,
 }
 
 impl Default for Bounds {
@@ -73,6 +75,7 @@
         Bounds {
             entries: MAX_ENTRIES,
             bytes: MAX_BYTES,
+            answer: ANSWER_KEPT,
         }
     }
 }
@@ -419,7 +422,7 @@
         entry.ended = counted;
         self.in_flight -= 1;
         self.ended.push(counted, id.clone());
-        self.expiry.push(counted + ANSWER_KEPT, id.clone());
+        self.expiry.push(counted + self.bounds.answer, id.clone());
     }
 
     fn expire(&mut self, id: &RequestId) {
@@ -430,7 +433,7 @@
             self.expiry.push(self.counted + KEPT, id.clone());
             return;
         }
-        if self.counted >= entry.ended + ANSWER_KEPT {
+        if self.counted >= entry.ended + self.bounds.answer {
             self.bytes -= entry.answer.clear();
         }
         let ended = entry.ended;
--- a/crates/attempt/tests/unit/ledger.rs
+++ b/crates/attempt/tests/unit/ledger.rs
@@ -122,6 +122,7 @@
     let bounds = Bounds {
         entries: 1,
         bytes: 8,
+        ..Bounds::default()
     };
     let mut ledger = Ledger::new(seconds(0), INCARNATION, bounds);
     expect_that!(
@@ -150,3 +151,24 @@
     }
     expect_that!(ledger.len(), eq(0));
 }
+
+/// Guards against a time for which answers are kept that the settings bound and the ledger does not read.
+#[gtest]
+fn an_answer_is_kept_for_as_long_as_the_bounds_say() {
+    for (kept, at, is_kept) in [(2, 1, true), (2, 2, false), (600, 300, true)] {
+        let bounds = Bounds {
+            answer: seconds(kept),
+            ..Bounds::default()
+        };
+        let mut ledger = Ledger::new(seconds(0), INCARNATION, bounds);
+        let id = submission("a").id;
+        let _ = ledger.submit(seconds(0), &submission("a"));
+        expect_true!(ledger.start(seconds(0), &id));
+        expect_true!(ledger.append(seconds(0), &id, b"hello"));
+        ledger.finish(seconds(0), &id);
+        for now in 1..=at {
+            ledger.tick(seconds(now));
+        }
+        expect_that!(ledger.bytes() > 0, eq(is_kept), "{kept} s, after {at} s");
+    }
+}
--- a/crates/slot/src/state.rs
+++ b/crates/slot/src/state.rs
@@ -82,6 +82,7 @@
         let now = clock.now();
         let bounds = Bounds {
             bytes: settings.limits.max_answer_bytes,
+            answer: settings.timing.answer_lifetime(),
             ..Bounds::default()
         };
         let queue = queue::Settings::builder()
