--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -254,6 +254,7 @@
             silence_ms: millis(self.shape.silence),
             drain_deadline_ms: millis(self.shape.drain),
             report_ms: millis(self.shape.report),
+            answer_lifetime_ms: millis(self.shape.answers),
             ..settings::Timing::default()
         };
         let mut value = json!({
--- a/crates/harness/src/shape.rs
+++ b/crates/harness/src/shape.rs
@@ -18,6 +18,7 @@
     pub(crate) silence: Duration,
     pub(crate) drain: Duration,
     pub(crate) report: Duration,
+    pub(crate) answers: Duration,
     pub(crate) log: String,
 }
 
@@ -37,6 +38,7 @@
             silence: Duration::from_secs(1),
             drain: Duration::from_mins(1),
             report: Duration::from_secs(5),
+            answers: Duration::from_mins(1),
             log: "info,dropshot=error".to_owned(),
         }
     }
@@ -85,6 +87,8 @@
     drain: Duration,
     /// Sets the time between two readings of expert counts.
     report: Duration,
+    /// Sets the time for which an answer that was not acknowledged is kept.
+    answers: Duration,
     /// Sets the filter of the processes' logs.
     log: String,
 }
