--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -9,6 +9,8 @@
 //! nothing of one generation is compared with another by its number alone. A gateway that learns of a newer one, from the store or from
 //! another gateway, reads all anew.
 
+mod revision;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -23,19 +25,9 @@
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamId;
 
-/// Number of the store's present life: it rises each time that the store comes back from a copy.
-pub type Generation = u64;
-
-/// Revision of the store; it grows with each change. All of a later generation are later.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct Revision {
-    /// Generation of the store.
-    pub generation: Generation,
-    /// Number within it.
-    pub number: u64,
-}
+pub use revision::Generation;
+pub use revision::Reading;
+pub use revision::Revision;
 
 /// Readers of a failure domain: one may die while another is not yet chosen.
 const READERS: usize = 2;
@@ -116,17 +108,6 @@
     Nothing,
 }
 
-/// What a reading of all that is published is worth.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reading {
-    /// It is of an earlier generation than is known, and tells nothing.
-    Outdated,
-    /// It holds all that is published.
-    Whole,
-    /// It is the first since the store came back from a copy, and lacks what was written since that was made.
-    Restored,
-}
-
 /// State of the spread at one gateway.
 #[derive(Clone, Debug, Default)]
 pub struct Spread {
--- a/crates/gateway/tests/all/backoff.rs
+++ b/crates/gateway/tests/all/backoff.rs
@@ -7,16 +7,14 @@
 use auburnline_gateway::Gateway;
 use auburnline_gateway::request::Admission;
 use auburnline_gateway::upstream::Upstream;
-use auburnline_lockstep::message::Busy;
-use auburnline_lockstep::message::Digest;
 use googletest::prelude::*;
 
 use crate::gateway::ask;
-use crate::limit::address;
 use crate::limit::count;
 use crate::limit::find;
 use crate::limit::gateway;
 use crate::limit::press;
+use crate::limit::slow_down;
 use crate::limit::tick;
 use crate::support::millis;
 
@@ -150,18 +148,7 @@
 #[gtest]
 fn a_stream_stays_at_its_slow_rank_where_the_others_asked() {
     let mut gateway = gateway();
-    let busy = |rank, pace| Busy {
-        engine: address(rank),
-        requests: 3,
-        pace,
-    };
-    let slowed = Digest {
-        service: "model".to_owned(),
-        group: "a".to_owned(),
-        is_open: true,
-        engines: vec![busy(0, 1_200), busy(1, 100)],
-    };
-    gateway.hear(&slowed, millis(2_300));
+    slow_down(&mut gateway, 2_300);
     let plan = ask(&mut gateway, "/draft/a", Some("key-1"), 2_300).expect("a plan");
     let slow = find(&gateway, "a-0");
     let is_better =
--- a/crates/gateway/tests/all/fleet/mod.rs
+++ b/crates/gateway/tests/all/fleet/mod.rs
@@ -19,7 +19,6 @@
 use auburnline_gateway::Gateway;
 use auburnline_gateway::limit::Consent;
 use auburnline_gateway::message::Beat;
-use auburnline_gateway::message::Entry;
 use auburnline_gateway::neighbour::PERIOD;
 use auburnline_gateway::neighbour::Roster;
 use auburnline_gateway::request::Plan;
@@ -37,6 +36,7 @@
 
 use crate::gateway::BOUNDS;
 use crate::gateway::ask;
+use crate::support::entry;
 use crate::support::millis;
 use crate::support::table;
 use crate::support::upstream;
@@ -178,17 +178,7 @@
 
     fn boot(&mut self, node: usize, now: Time) {
         self.lives += 1;
-        let me = Entry {
-            instance: format!("front-{node}").into(),
-            incarnation: u64::from(self.lives),
-            beat: 0,
-            failure_domain: "north".into(),
-            callers: ([10, 0, 1, 1], peers(node).port()).into(),
-            peers: peers(node),
-            is_ready: true,
-            is_cut: false,
-            version: None,
-        };
+        let me = entry(peers(node).port(), u64::from(self.lives), 0);
         let roster = Roster::new(me, (0..3).map(peers).collect());
         let seed = self.rng.random();
         let mut gateway = Gateway::new("north".into(), BOUNDS, roster, seed);
--- a/crates/gateway/tests/all/limit.rs
+++ b/crates/gateway/tests/all/limit.rs
@@ -11,7 +11,6 @@
 use auburnline_core::error::Kind;
 use auburnline_gateway::Gateway;
 use auburnline_gateway::limit::Consent;
-use auburnline_gateway::message::Beat;
 use auburnline_gateway::message::Entry;
 use auburnline_gateway::request::Admission;
 use auburnline_gateway::upstream::State;
@@ -28,13 +27,15 @@
 
 use crate::gateway::ask;
 use crate::gateway::blank;
+use crate::support::beat;
+use crate::support::entry;
 use crate::support::millis;
 use crate::support::table;
 use crate::support::upstream;
 
 const PERIOD: u64 = 300;
 
-pub(crate) fn address(number: u16) -> SocketAddr {
+fn address(number: u16) -> SocketAddr {
     ([10, 0, 0, 1], number).into()
 }
 
@@ -202,10 +203,8 @@
     expect_that!(gateway.limit(&again, millis(2_300)), none());
 }
 
-/// Guards against a stream that gives up its slow rank and then breaks off since no other one takes it.
-#[gtest]
-fn a_stream_stays_at_its_slow_rank_where_the_others_have_limits() {
-    let mut gateway = gateway();
+/// Lets the lead of the first group tell that its first rank is slow.
+pub(crate) fn slow_down(gateway: &mut Gateway, now: u64) {
     let busy = |rank, pace| Busy {
         engine: address(rank),
         requests: 3,
@@ -217,7 +216,14 @@
         is_open: true,
         engines: vec![busy(0, 1_200), busy(1, 100)],
     };
-    gateway.hear(&slowed, millis(2_300));
+    gateway.hear(&slowed, millis(now));
+}
+
+/// Guards against a stream that gives up its slow rank and then breaks off since no other one takes it.
+#[gtest]
+fn a_stream_stays_at_its_slow_rank_where_the_others_have_limits() {
+    let mut gateway = gateway();
+    slow_down(&mut gateway, 2_300);
     let plan = ask(&mut gateway, "/draft/a", Some("key-1"), 2_300).expect("a plan");
     let slow = find(&gateway, "a-0");
     let now = millis(2_310);
@@ -261,24 +267,12 @@
 }
 
 fn hear(gateway: &mut Gateway, number: u16, now: u64) -> SocketAddr {
-    let address = ([10, 0, 2, 1], number).into();
     let from = Entry {
         instance: format!("gateway-{number}").into(),
-        incarnation: 1,
-        beat: now,
-        failure_domain: "north".into(),
-        callers: ([10, 0, 1, 1], number).into(),
-        peers: address,
-        is_ready: true,
-        is_cut: false,
-        version: None,
-    };
-    let beat = Beat {
-        from,
-        counts: Vec::new(),
-        others: Vec::new(),
-        members: 1,
+        ..entry(number, 1, now)
     };
+    let address = from.peers;
+    let beat = beat(from);
     gateway.roster.hear(&beat, millis(now));
     address
 }
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -3,8 +3,6 @@
 use std::net::SocketAddr;
 
 use auburnline_gateway::Gateway;
-use auburnline_gateway::message::Beat;
-use auburnline_gateway::message::Entry;
 use auburnline_gateway::pace;
 use auburnline_gateway::pace::Load;
 use auburnline_gateway::report::Reports;
@@ -18,7 +16,9 @@
 
 use crate::gateway::ask;
 use crate::gateway::blank;
+use crate::support;
 use crate::support::ENGINE;
+use crate::support::entry;
 use crate::support::millis;
 use crate::support::table;
 use crate::support::upstream;
@@ -48,23 +48,7 @@
 /// Lets all other gateways and the store be heard.
 fn beat(gateway: &mut Gateway, beat: u64, now: u64) {
     for number in 1..GATEWAYS {
-        let from = Entry {
-            instance: format!("gateway-{number}").into(),
-            incarnation: 1,
-            beat,
-            failure_domain: "north".into(),
-            callers: ([10, 0, 1, 1], number).into(),
-            peers: ([10, 0, 2, 1], number).into(),
-            is_ready: true,
-            is_cut: false,
-            version: None,
-        };
-        let beat = Beat {
-            from,
-            counts: Vec::new(),
-            others: Vec::new(),
-            members: 1,
-        };
+        let beat = support::beat(entry(number, 1, beat));
         gateway.roster.hear(&beat, millis(now));
     }
     let _ = gateway.knowledge.confirm(millis(now), millis(now));
--- a/crates/gateway/tests/all/restore.rs
+++ b/crates/gateway/tests/all/restore.rs
@@ -26,6 +26,7 @@
 
 use crate::gateway::BOUNDS;
 use crate::support::content;
+use crate::support::entry;
 use crate::support::millis;
 
 const STEP: Duration = Duration::from_millis(100);
@@ -147,15 +148,8 @@
     fn node(&mut self, number: usize) -> Node {
         self.lives += 1;
         let me = Entry {
-            instance: format!("front-{number}").into(),
-            incarnation: self.lives,
-            beat: 0,
             failure_domain: format!("domain-{}", number % DOMAINS).into(),
-            callers: ([10, 0, 1, 1], peers(number).port()).into(),
-            peers: peers(number),
-            is_ready: true,
-            is_cut: false,
-            version: None,
+            ..entry(peers(number).port(), self.lives, 0)
         };
         let roster = Roster::new(me, (0..3).map(peers).collect());
         let seed = self.rng.random();
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use auburnline_gateway::message::Beat;
+use auburnline_gateway::message::Entry;
 use auburnline_gateway::route::Content;
 use auburnline_gateway::route::Engine;
 use auburnline_gateway::route::Kind;
@@ -104,3 +106,28 @@
         number,
     }
 }
+
+/// Returns a gateway as it tells of itself.
+pub(crate) fn entry(number: u16, incarnation: u64, beat: u64) -> Entry {
+    Entry {
+        instance: format!("front-{number}").into(),
+        incarnation,
+        beat,
+        failure_domain: "north".into(),
+        callers: ([10, 0, 1, 1], number).into(),
+        peers: ([10, 0, 2, 1], number).into(),
+        is_ready: true,
+        is_cut: false,
+        version: None,
+    }
+}
+
+/// Returns a beat that tells of its sender alone.
+pub(crate) fn beat(from: Entry) -> Beat {
+    Beat {
+        from,
+        counts: Vec::new(),
+        others: Vec::new(),
+        members: 1,
+    }
+}
--- a/crates/gateway/tests/all/version.rs
+++ b/crates/gateway/tests/all/version.rs
@@ -3,28 +3,21 @@
 use std::net::SocketAddr;
 
 use auburnline_gateway::Gateway;
-use auburnline_gateway::gateway::Bounds;
-use auburnline_gateway::message::Beat;
 use auburnline_gateway::message::Entry;
 use auburnline_gateway::neighbour::Roster;
 use auburnline_gateway::route::Version;
 use googletest::prelude::*;
 
 use crate::gateway::BOUNDS;
+use crate::support;
+use crate::support::entry;
 use crate::support::millis;
 use crate::support::table;
 
-fn entry(number: u16, version: Option<Version>) -> Entry {
+fn serving(number: u16, version: Option<Version>) -> Entry {
     Entry {
-        instance: format!("front-{number}").into(),
-        incarnation: 1,
-        beat: 1,
-        failure_domain: "north".into(),
-        callers: ([10, 0, 1, 1], number).into(),
-        peers: peers(number),
-        is_ready: true,
-        is_cut: false,
         version,
+        ..entry(number, 1, 1)
     }
 }
 
@@ -34,22 +27,16 @@
 
 /// Returns a gateway that just started, with another one to ask first if there is one.
 fn gateway(seeds: &[SocketAddr]) -> Gateway {
-    let roster = Roster::new(entry(1, None), seeds.to_vec());
-    let bounds: Bounds = BOUNDS;
-    Gateway::new("north".into(), bounds, roster, 7)
+    let roster = Roster::new(serving(1, None), seeds.to_vec());
+    Gateway::new("north".into(), BOUNDS, roster, 7)
 }
 
 fn hear(gateway: &mut Gateway, number: u16, beat: u64, version: Option<Version>, now: u64) {
     let from = Entry {
         beat,
-        ..entry(number, version)
-    };
-    let beat = Beat {
-        from,
-        counts: Vec::new(),
-        others: Vec::new(),
-        members: 1,
+        ..serving(number, version)
     };
+    let beat = support::beat(from);
     gateway.roster.hear(&beat, millis(now));
 }
 
@@ -131,7 +118,7 @@
 fn gateways_that_are_behind_ask_different_ones() {
     let mut asked: Vec<_> = (1..=9)
         .map(|number| {
-            let roster = Roster::new(entry(number, None), vec![peers(20)]);
+            let roster = Roster::new(serving(number, None), vec![peers(20)]);
             let mut gateway = Gateway::new("north".into(), BOUNDS, roster, 7);
             for other in 20..40 {
                 hear(&mut gateway, other, 5, Some(20), 10);
