Another gateway's word of a generation makes a gateway look, and the store's own word decides

What could be seen: one datagram with a wrong generation, as of a gateway that runs another release, and a gateway takes nothing that the store says any more; it refuses all requests with a key until it is started anew.

Cause: the newest generation that was heard of counted, whoever told it. Now a gateway's word costs one reading of the store; the store's answers follow one another, so the newest one decides.

--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -1,8 +1,8 @@
 //! Starts of upstreams of which something holds beyond their entries on the list.
 //!
-//! An upstream that said that it leaves, on the list or in an answer, does not come back, and neither does one whose entry was removed
-//! by anything but a failure of the store: only another start under its id takes work again. Its entry may say otherwise, since it
-//! may be older than the word, written late, or restored from a copy.
+//! An upstream that said that it leaves, on the list or in an answer, does not come back: only another start under its id takes work
+//! again. Its entry may say otherwise, since it may be older than the word, written late, or restored from a copy. And an
+//! upstream that was removed from the list may be on it again in a copy.
 
 use std::collections::BTreeMap;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -165,22 +165,20 @@
         true
     }
 
-    /// Takes all that is published, as of `revision`, with a configuration written at `configuration`; returns what changed, or
-    /// nothing if it is outdated.
+    /// Takes all that is published, as of `revision`, with a configuration written at `configuration`; returns what changed.
     pub fn read_all(
         &mut self,
         upstreams: Vec<Upstream>,
         revision: Revision,
         configuration: Revision,
         now: Monotonic,
-    ) -> Option<Vec<Change>> {
+    ) -> Vec<Change> {
         match self.spread.read_all(revision, configuration) {
-            Reading::Outdated => None,
-            Reading::Whole => Some(self.pool.replace(upstreams)),
+            Reading::Whole => self.pool.replace(upstreams),
             Reading::Restored => {
                 self.knowledge.restored(now);
                 let until = now + self.bounds.heartbeat * HEARTBEATS_DOUBTED;
-                Some(self.pool.restore(upstreams, until))
+                self.pool.restore(upstreams, until)
             }
         }
     }
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -6,7 +6,7 @@
 //! age, so that what was held up on the way never seems younger than it is.
 //!
 //! A store that comes back from a copy gives revisions out again. So a [`Revision`] belongs to a generation of the store, and
-//! nothing of one generation is compared with another by its number alone. A gateway that learns of a newer one, from the store or from
+//! nothing of one generation is compared with another by its number alone. A gateway that learns of another one from the store, or of a newer one from
 //! another gateway, reads all anew.
 
 mod revision;
@@ -111,8 +111,10 @@
 /// State of the spread at one gateway.
 #[derive(Clone, Debug, Default)]
 pub struct Spread {
-    /// Newest generation that was heard of.
+    /// Generation that the store named last.
     generation: Generation,
+    /// Newest generation that another gateway told of.
+    told_of: Generation,
     /// Generation of which all was read last.
     read_of: Option<Generation>,
     revision: Option<Revision>,
@@ -140,30 +142,44 @@
         self.revision
     }
 
-    /// Takes that the store is of this generation. Returns whether it is a newer one: all that was known is to be read anew then.
-    pub fn renew(&mut self, generation: Generation) -> bool {
-        let is_newer = generation > self.generation;
-        if is_newer {
+    /// Takes that the store is of this generation, as it says itself; returns whether it was of another one. Calls of one gateway
+    /// follow one another, so each answer is newer than those before.
+    pub fn turn(&mut self, generation: Generation) -> bool {
+        let is_other = generation != self.generation;
+        if is_other {
             self.generation = generation;
-            self.revision = None;
-            self.changes.clear();
+            self.begin_anew();
+        }
+        is_other
+    }
+
+    /// Takes that another gateway knows this generation; returns whether that is news. The store has to confirm it: a word that is
+    /// wrong costs one reading and keeps nothing out.
+    pub fn renew(&mut self, generation: Generation) -> bool {
+        let is_news = generation > self.generation.max(self.told_of);
+        if is_news {
+            self.told_of = generation;
+            self.begin_anew();
         }
-        is_newer
+        is_news
+    }
+
+    /// Lets all be read anew.
+    fn begin_anew(&mut self) {
+        self.revision = None;
+        self.changes.clear();
     }
 
     /// Takes that all was read as of `revision`, and a configuration written at `configuration`.
     pub fn read_all(&mut self, revision: Revision, configuration: Revision) -> Reading {
-        self.renew(revision.generation);
-        if revision.generation < self.generation {
-            return Reading::Outdated;
-        }
+        self.turn(revision.generation);
         let before = self.read_of.replace(revision.generation);
         self.revision = Some(revision);
         self.read_configuration(configuration);
         self.changes.clear();
         self.kept_after = revision;
         match before {
-            Some(before) if before < revision.generation => Reading::Restored,
+            Some(before) if before != revision.generation => Reading::Restored,
             _ => Reading::Whole,
         }
     }
--- a/crates/gateway/src/spread/revision.rs
+++ b/crates/gateway/src/spread/revision.rs
@@ -20,8 +20,6 @@
 /// What a reading of all that is published is worth.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reading {
-    /// It is of an earlier generation than is known, and tells nothing.
-    Outdated,
     /// It holds all that is published.
     Whole,
     /// It is the first since the store came back from a copy, and lacks what was written since that was made.
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -93,14 +93,11 @@
         if let Some((revision, content)) = all.configuration {
             self.take(revision, content);
         }
-        self.renew(all.revision.generation);
+        self.turn(all.revision.generation);
         let now = self.now();
         let mut gateway = self.0.gateway();
         let changes = gateway.read_all(all.upstreams, all.revision, written, now);
         drop(gateway);
-        let Some(changes) = changes else {
-            return;
-        };
         self.0.upstreams_changed(changes);
         self.confirm(asked);
         self.expire();
@@ -124,7 +121,7 @@
 
     /// Takes changes up to `until`, as asked for at `asked`, and tells others.
     pub fn changes(&self, changes: Vec<(Revision, Change)>, until: Revision, asked: Monotonic) {
-        self.renew(until.generation);
+        self.turn(until.generation);
         let since = self.0.gateway().spread.revision().unwrap_or_default();
         let mut published = Vec::with_capacity(changes.len());
         for (revision, change) in changes {
@@ -147,21 +144,29 @@
         }
     }
 
-    /// Takes that the store is of this generation, as it or another gateway said. If it came back from a copy, all is read
-    /// anew, and those who ask this gateway are told so.
-    pub fn renew(&self, generation: Generation) {
+    /// Takes that the store is of this generation, as it says itself.
+    pub fn turn(&self, generation: Generation) {
         let mut gateway = self.0.gateway();
         let before = gateway.spread.revision();
-        if !gateway.spread.renew(generation) {
-            return;
-        }
+        let is_other = gateway.spread.turn(generation);
         let version = gateway.version();
         drop(gateway);
-        if before.is_some() {
+        if is_other && before.is_some() {
             log::info!(target: "store", generation, before:?, version:?; "came back from a copy, reading all anew");
             metrics::counter!("auburnline_store_restores_total").increment(1);
         }
-        self.0.news.notify_one();
+    }
+
+    /// Takes that another gateway knows this generation of the store.
+    pub(crate) fn renew(&self, generation: Generation) {
+        let mut gateway = self.0.gateway();
+        let before = gateway.spread.revision();
+        let is_news = gateway.spread.renew(generation);
+        drop(gateway);
+        if is_news {
+            log::info!(target: "store", generation, before:?; "told of another generation, reading all anew");
+            self.0.news.notify_one();
+        }
     }
 
     /// Takes that the changes after the known revision are gone.
