A gateway that starts leaves the store time to tell the configuration before it asks others

Cause, by reading: all gateways start at once after a loss of power; those whose own reading is still on its way hear with each beat that others are ahead, and asked them for the configuration, by far the longest message, with each. Now a gateway that starts asks once the store has answered it and others are still ahead, and once a beat at the most.

Test: a_gateway_that_starts_asks_no_other_one_before_the_store_has_answered_and_then_one_a_beat, which fails on the code before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -105,6 +105,8 @@
     pub(crate) unconfirmed: Option<Monotonic>,
     /// Since when another gateway is ahead.
     pub(crate) behind_since: Option<Monotonic>,
+    /// When one that is ahead was asked last.
+    pub(crate) asked_ahead: Option<Monotonic>,
     /// What was read of the store.
     pub spread: Spread,
     /// Requests that crash what runs them.
@@ -138,6 +140,7 @@
             knowledge: Knowledge::new(bounds.revocation),
             unconfirmed: None,
             behind_since: None,
+            asked_ahead: None,
             spread: Spread::default(),
             quarantine: Quarantine::default(),
             limits: Limits::default(),
--- a/crates/gateway/src/version.rs
+++ b/crates/gateway/src/version.rs
@@ -12,6 +12,7 @@
 
 use crate::gateway::Gateway;
 use crate::knowledge;
+use crate::neighbour::PERIOD;
 
 /// Time after the start for which a gateway waits for the word of another one: two beats, of which one may be lost. Those that
 /// live reply to the first one at once.
@@ -20,16 +21,24 @@
 const TOLD_WITHIN: Duration = Duration::from_millis(900);
 
 impl Gateway {
-    /// Returns whom to ask for a newer configuration; none if no other gateway is ahead, or readers may still tell it.
+    /// Returns whom to ask for a newer configuration; none if no other gateway is ahead, or the store or its readers may still
+    /// tell it. All gateways that start at once read the store at once, and a configuration is the longest message.
     pub fn catch_up(&mut self, now: Monotonic) -> Option<SocketAddr> {
         let Some(ahead) = self.ahead(now) else {
             self.behind_since = None;
             return None;
         };
         let since = *self.behind_since.get_or_insert(now);
-        let is_new_here = self.knowledge.age(now).is_none();
-        let is_due = is_new_here || now.saturating_sub(since) >= TOLD_WITHIN;
-        is_due.then_some(ahead)
+        let waits_to_serve = self.knowledge.age(now).is_none() && self.unconfirmed.is_some();
+        let is_told_late = now.saturating_sub(since) >= TOLD_WITHIN;
+        let is_asked = self
+            .asked_ahead
+            .is_some_and(|at| now.saturating_sub(at) < PERIOD);
+        if is_asked || !(waits_to_serve || is_told_late) {
+            return None;
+        }
+        self.asked_ahead = Some(now);
+        Some(ahead)
     }
 
     /// Returns the address of a gateway that serves by a newer version than this one.
--- a/crates/gateway/tests/all/version.rs
+++ b/crates/gateway/tests/all/version.rs
@@ -120,6 +120,7 @@
         .map(|number| {
             let roster = Roster::new(serving(number, None), vec![peers(20)]);
             let mut gateway = Gateway::new("north".into(), BOUNDS, roster, 7);
+            gateway.confirm(millis(5), millis(8));
             for other in 20..40 {
                 hear(&mut gateway, other, 5, Some(20), 10);
             }
@@ -130,3 +131,18 @@
     asked.dedup();
     expect_that!(asked.len(), gt(4));
 }
+
+/// Pattern: all gateways of a fleet start at once, and some have the configuration sooner. Each would get it from the others with every
+/// beat that it hears, besides from the store.
+#[gtest]
+fn a_gateway_that_starts_asks_no_other_one_before_the_store_has_answered_and_then_one_a_beat() {
+    let mut gateway = gateway(&[peers(2)]);
+    for beat in 1..5 {
+        hear(&mut gateway, 2, beat, Some(20), beat);
+        expect_that!(gateway.catch_up(millis(beat)), none());
+    }
+    gateway.set_table(table(15));
+    gateway.confirm(millis(10), millis(20));
+    let asked = (20..620).filter(|now| gateway.catch_up(millis(*now)).is_some());
+    expect_that!(asked.collect::<Vec<_>>(), eq(&vec![20, 320]));
+}
