An introduction is not replied to

Cause: a gateway replied to the first beat of another one with a beat of its own. Where both are at their first beat, as after all lost power, the reply looks like a first beat itself, so that both reply to each other until the next beats 0.3 s later. A reply is now a message of its own, which is not replied to.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -60,6 +60,8 @@
 pub enum Datagram {
     /// Beat of another gateway.
     Beat(Beat),
+    /// Reply to the first beat of another gateway; it is not replied to.
+    Introduction(Beat),
     /// Question of a sidecar.
     Ask(Ask),
     /// Word of a lead about its group.
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -143,7 +143,14 @@
 
 fn hear(shared: &Rc<Shared>, bytes: &[u8], from: SocketAddr) {
     match postcard::from_bytes(bytes) {
-        Ok(Datagram::Beat(beat)) => take(shared, beat, from),
+        Ok(Datagram::Beat(beat)) => {
+            let is_first = beat.from.beat == FIRST_BEAT && beat.from.peers == from;
+            take(shared, beat);
+            if is_first {
+                introduce(shared, from);
+            }
+        }
+        Ok(Datagram::Introduction(beat)) => take(shared, beat),
         Ok(Datagram::Ask(ask)) => {
             let members = shared.gateway().members(&ask, shared.now());
             shared.tell(&Message::Members(members), from);
@@ -195,9 +202,8 @@
     }
 }
 
-fn take(shared: &Shared, beat: Beat, from: SocketAddr) {
+fn take(shared: &Shared, beat: Beat) {
     let now = shared.now();
-    let is_first = beat.from.beat == FIRST_BEAT && beat.from.peers == from;
     let mut gateway = shared.gateway();
     for news in gateway.roster.hear(&beat, now) {
         log::info!(target: "neighbours", instance = &*news.instance, is_ready = news.is_ready; "heard");
@@ -206,9 +212,6 @@
     gateway.pool.set_elsewhere(neighbour, beat.counts, now);
     let is_new_here = gateway.knowledge.age(now).is_none();
     drop(gateway);
-    if is_first {
-        introduce(shared, from, now);
-    }
     if is_new_here {
         catch_up(shared, now);
         shared.refresh();
@@ -216,10 +219,12 @@
 }
 
 /// Tells a gateway that just started of this one and some others, so that it need not wait for their beats.
-fn introduce(shared: &Shared, to: SocketAddr, now: Monotonic) {
-    let word = shared
-        .gateway()
+fn introduce(shared: &Shared, to: SocketAddr) {
+    let now = shared.now();
+    let gateway = shared.gateway();
+    let word = gateway
         .roster
         .introduction(now, &mut SmallRng::from_os_rng());
-    shared.tell(&Datagram::Beat(word), to);
+    drop(gateway);
+    shared.tell(&Datagram::Introduction(word), to);
 }
