--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -144,7 +144,7 @@
 
     /// Takes that the store is of this generation, as it says itself; returns whether it was of another one. Calls of one gateway
     /// follow one another, so each answer is newer than those before.
-    pub fn turn(&mut self, generation: Generation) -> bool {
+    pub fn enter(&mut self, generation: Generation) -> bool {
         let is_other = generation != self.generation;
         if is_other {
             self.generation = generation;
@@ -155,7 +155,7 @@
 
     /// Takes that another gateway knows this generation; returns whether that is news. The store has to confirm it: a word that is
     /// wrong costs one reading and keeps nothing out.
-    pub fn renew(&mut self, generation: Generation) -> bool {
+    pub fn hint(&mut self, generation: Generation) -> bool {
         let is_news = generation > self.generation.max(self.told_of);
         if is_news {
             self.told_of = generation;
@@ -172,7 +172,7 @@
 
     /// Takes that all was read as of `revision`, and a configuration written at `configuration`.
     pub fn read_all(&mut self, revision: Revision, configuration: Revision) -> Reading {
-        self.turn(revision.generation);
+        self.enter(revision.generation);
         let before = self.read_of.replace(revision.generation);
         self.revision = Some(revision);
         self.read_configuration(configuration);
--- a/crates/gateway/tests/all/restore.rs
+++ b/crates/gateway/tests/all/restore.rs
@@ -214,7 +214,7 @@
                 None
             }
             Message::Question(question) => {
-                gateway.spread.renew(question.revision.generation);
+                gateway.spread.hint(question.revision.generation);
                 let age = gateway.knowledge.age(now).unwrap_or_default();
                 let answer = gateway.spread.answer(question, age).map(Message::Answer);
                 if let Some(told) = gateway.spread.told(question).cloned() {
@@ -223,7 +223,7 @@
                 answer
             }
             Message::Answer(answer) => {
-                gateway.spread.renew(answer.until.generation);
+                gateway.spread.hint(answer.until.generation);
                 let (_, known_at) = gateway.spread.hear(answer);
                 if let Some(known_at) = known_at {
                     gateway.confirm(known_at, now);
@@ -270,11 +270,11 @@
                 gateway.confirm(now, now);
             }
             Need::Configuration => {
-                gateway.spread.turn(self.store.generation);
+                gateway.spread.enter(self.store.generation);
                 take(gateway, version, written);
             }
             Need::Changes(after) => {
-                if gateway.spread.turn(self.store.generation) {
+                if gateway.spread.enter(self.store.generation) {
                     return;
                 }
                 if after > self.store.revision() {
--- a/crates/gateway/tests/all/spread.rs
+++ b/crates/gateway/tests/all/spread.rs
@@ -202,8 +202,8 @@
     for one in [&mut reader, &mut asker] {
         one.take(vec![(at(90), Published::Configuration)], at(90));
         one.read_configuration(at(90));
-        expect_that!(one.renew(1), eq(true));
-        expect_that!(one.renew(1), eq(false));
+        expect_that!(one.hint(1), eq(true));
+        expect_that!(one.hint(1), eq(false));
         expect_that!(one.need(false, millis(0)), eq(Need::All));
         let reading = one.read_all(restored(10), restored(3));
         expect_that!(reading, eq(Reading::Restored));
@@ -225,7 +225,7 @@
 #[gtest]
 fn what_is_told_of_another_generation_changes_nothing() {
     let (mut old, mut new) = (spread(), spread());
-    new.renew(1);
+    new.hint(1);
     new.read_all(restored(8), restored(3));
     old.take(vec![(at(11), change("a"))], at(11));
     // A reader that knows the earlier one only.
@@ -242,7 +242,7 @@
     expect_that!(answer.changes, is_empty());
     expect_that!(answer.until, eq(restored(12)));
     expect_that!(old.hear(answer.clone()).1, none());
-    old.renew(answer.until.generation);
+    old.hint(answer.until.generation);
     expect_that!(old.need(false, millis(1_000)), eq(Need::All));
 }
 
@@ -251,7 +251,7 @@
 fn the_newest_version_is_kept_through_a_restore() {
     let mut spread = spread();
     spread.keep(told(20));
-    spread.renew(1);
+    spread.hint(1);
     spread.keep(Told {
         revision: restored(5),
         content: content(15, Vec::new()),
@@ -267,10 +267,10 @@
 #[gtest]
 fn a_generation_that_the_store_does_not_confirm_costs_one_reading_and_keeps_nothing_out() {
     let (mut reader, mut asker) = (spread(), spread());
-    expect_that!(asker.renew(9), eq(true));
+    expect_that!(asker.hint(9), eq(true));
     expect_that!(asker.need(false, millis(0)), eq(Need::All));
     expect_that!(asker.read_all(at(10), at(3)), eq(Reading::Whole));
-    expect_that!(asker.renew(9), eq(false));
+    expect_that!(asker.hint(9), eq(false));
     expect_that!(asker.need(false, millis(0)), eq(Need::Nothing));
     reader.take(vec![(at(11), change("a"))], at(11));
     let question = asker.question(millis(1_000)).expect("a question");
@@ -278,7 +278,7 @@
     expect_that!(new, len(eq(1)));
     expect_that!(known_at, some(eq(millis(1_000))));
     // The store itself tells of the next one.
-    expect_that!(asker.turn(1), eq(true));
+    expect_that!(asker.enter(1), eq(true));
     expect_that!(
         asker.read_all(restored(4), restored(3)),
         eq(Reading::Restored)
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -164,7 +164,7 @@
             }
         }
         Ok(Datagram::Question(question)) => {
-            Feed(Rc::clone(shared)).renew(question.revision.generation);
+            Feed(Rc::clone(shared)).hint(question.revision.generation);
             shared.answer(question, from);
         }
         Ok(Datagram::Behind(version)) => {
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -93,7 +93,7 @@
         if let Some((revision, content)) = all.configuration {
             self.take(revision, content);
         }
-        self.turn(all.revision.generation);
+        self.enter(all.revision.generation);
         let now = self.now();
         let mut gateway = self.0.gateway();
         let changes = gateway.read_all(all.upstreams, all.revision, written, now);
@@ -121,7 +121,7 @@
 
     /// Takes changes up to `until`, as asked for at `asked`, and tells others.
     pub fn changes(&self, changes: Vec<(Revision, Change)>, until: Revision, asked: Monotonic) {
-        self.turn(until.generation);
+        self.enter(until.generation);
         let since = self.0.gateway().spread.revision().unwrap_or_default();
         let mut published = Vec::with_capacity(changes.len());
         for (revision, change) in changes {
@@ -145,10 +145,10 @@
     }
 
     /// Takes that the store is of this generation, as it says itself.
-    pub fn turn(&self, generation: Generation) {
+    pub fn enter(&self, generation: Generation) {
         let mut gateway = self.0.gateway();
         let before = gateway.spread.revision();
-        let is_other = gateway.spread.turn(generation);
+        let is_other = gateway.spread.enter(generation);
         let version = gateway.version();
         drop(gateway);
         if is_other && before.is_some() {
@@ -158,10 +158,10 @@
     }
 
     /// Takes that another gateway knows this generation of the store.
-    pub(crate) fn renew(&self, generation: Generation) {
+    pub(crate) fn hint(&self, generation: Generation) {
         let mut gateway = self.0.gateway();
         let before = gateway.spread.revision();
-        let is_news = gateway.spread.renew(generation);
+        let is_news = gateway.spread.hint(generation);
         drop(gateway);
         if is_news {
             log::info!(target: "store", generation, before:?; "told of another generation, reading all anew");
@@ -177,7 +177,7 @@
 
     /// Takes the answer of another gateway that reads the store.
     pub(crate) fn hear(&self, answer: Answer) {
-        self.renew(answer.until.generation);
+        self.hint(answer.until.generation);
         let (new, known_at) = self.0.gateway().spread.hear(answer);
         if let Some(known_at) = known_at {
             self.know(known_at);
