--- a/crates/gateway/tests/all/restore.rs
+++ b/crates/gateway/tests/all/restore.rs
@@ -37,6 +37,10 @@
 const IN_FORCE: Duration = Duration::from_secs(3);
 /// Time after the end of its trouble from which a gateway is held to that.
 const STABILITY: Duration = Duration::from_secs(3);
+/// Time after which a key that was taken away works nowhere, whatever happened to a gateway.
+const REVOKED: Duration = Duration::from_secs(5);
+/// Messages that wait for a gateway that stands still; more are lost.
+const MOST_WAITING: usize = 60;
 /// Messages that are lost, of 100.
 const LOST: u32 = 1;
 const DOMAINS: usize = 4;
@@ -89,6 +93,7 @@
 #[derive(Clone)]
 enum Message {
     Beat(Beat),
+    Introduction(Beat),
     Question(Question),
     Answer(Answer),
     Behind(Option<Version>),
@@ -99,7 +104,10 @@
     gateway: Gateway,
     started: Duration,
     frozen_until: Duration,
+    /// Until when it does not reach the store.
     cut_until: Duration,
+    /// Until when it reaches nobody.
+    dark_until: Duration,
     /// End of its last trouble.
     well_since: Duration,
     inbox: Vec<(usize, Message)>,
@@ -158,6 +166,7 @@
             started: self.now,
             frozen_until: Duration::ZERO,
             cut_until: Duration::ZERO,
+            dark_until: Duration::ZERO,
             well_since: self.now,
             inbox: Vec::new(),
             next_read: self.now,
@@ -199,8 +208,13 @@
 
     fn send(&mut self, from: usize, to: SocketAddr, message: Message) {
         let to = number(to);
-        if to != from && !self.rng.random_ratio(LOST, 100) {
-            self.nodes[to].inbox.push((from, message));
+        let is_dark = self.now < self.nodes[from].dark_until.max(self.nodes[to].dark_until);
+        if to == from || self.rng.random_ratio(LOST, 100) || is_dark {
+            return;
+        }
+        let node = &mut self.nodes[to];
+        if self.now >= node.frozen_until || node.inbox.len() < MOST_WAITING {
+            node.inbox.push((from, message));
         }
     }
 
@@ -210,6 +224,14 @@
         let gateway = &mut node.gateway;
         let reply = match message {
             Message::Beat(beat) => {
+                gateway.roster.hear(&beat, now);
+                let is_first = beat.from.beat == 1;
+                is_first.then(|| {
+                    let mut rng = ChaCha8Rng::from_rng(&mut self.rng);
+                    Message::Introduction(gateway.roster.introduction(now, &mut rng))
+                })
+            }
+            Message::Introduction(beat) => {
                 gateway.roster.hear(&beat, now);
                 None
             }
@@ -254,7 +276,7 @@
         if need == Need::Nothing || self.now < node.next_read {
             return;
         }
-        if self.store.is_down || self.now < node.cut_until {
+        if self.store.is_down || self.now < node.cut_until.max(node.dark_until) {
             gateway.roster.set_cut(true);
             node.next_read = self.now + gateway.spread.miss(false);
             return;
@@ -330,15 +352,25 @@
         let due = self.written.iter();
         let due = due.filter(|(_, at)| *at + IN_FORCE <= self.now);
         let least = due.map(|(version, _)| *version).max();
+        let old = self.written.iter();
+        let old = old.filter(|(_, at)| *at + REVOKED <= self.now);
+        let revoked = old.map(|(version, _)| *version).max();
         for (number, node) in self.nodes.iter().enumerate() {
-            let is_well =
-                self.now >= node.frozen_until.max(node.cut_until).max(node.well_since) + STABILITY;
+            let trouble = node.frozen_until.max(node.cut_until);
+            let is_well = self.now >= trouble.max(node.dark_until).max(node.well_since) + STABILITY;
             let now = self.now.saturating_sub(node.started);
             let version = node.gateway.version();
-            if is_well && !self.store.is_down && node.gateway.is_able(now) && version < least {
+            let is_able = node.gateway.is_able(now);
+            if is_well && !self.store.is_down && is_able && version < least {
                 self.broken
                     .push(format!("{number} serves by {version:?} and not {least:?}"));
             }
+            let runs = self.now >= node.frozen_until;
+            if runs && is_able && version < revoked {
+                self.broken.push(format!(
+                    "{number} trusts keys by {version:?} and not {revoked:?}"
+                ));
+            }
         }
     }
 
@@ -452,3 +484,37 @@
         }
     }
 }
+
+/// Guards against keys that were taken away and work again at gateways that start, wake or are no longer cut off, since the store that
+/// they read was restored from a copy which still has them.
+#[gtest]
+fn keys_that_a_restored_store_has_again_work_at_no_gateway_that_comes_back() {
+    for count in FLEETS {
+        let seeds = if count < 300 { 6 } else { 1 };
+        for seed in 1..=seeds {
+            let mut world = World::start(count, seed);
+            world.run(Duration::from_secs(4));
+            let harmed = count.div_ceil(5);
+            for number in 0..harmed {
+                let until = world.now + millis(5_300 + world.rng.random_range(0..2_000));
+                match number % 2 {
+                    0 => world.nodes[number].frozen_until = until,
+                    _ => world.nodes[number].dark_until = until,
+                }
+            }
+            world.run(millis(100));
+            world.write(5);
+            world.run(millis(5_100));
+            world.store.restore(1);
+            for _ in 0..10 {
+                let number = world.rng.random_range(harmed..count);
+                world.nodes[number] = world.node(number);
+                world.run(millis(250));
+            }
+            world.store.write(5);
+            world.run(Duration::from_secs(6));
+            expect_that!(world.broken, is_empty(), "{count} gateways, seed {seed}");
+            expect_that!(world.able(), eq(count), "{count} gateways, seed {seed}");
+        }
+    }
+}
--- a/crates/gateway/tests/all/version.rs
+++ b/crates/gateway/tests/all/version.rs
@@ -59,6 +59,66 @@
     expect_that!(gateway.set_table(table(15)), eq(false));
 }
 
+/// Guards against a gateway that stood still or was cut off, finds the store restored and serves by what that holds.
+#[gtest]
+fn a_gateway_that_comes_back_serves_once_it_has_heard_another_one() {
+    let mut gateway = gateway(&[peers(2)]);
+    gateway.set_table(table(15));
+    hear(&mut gateway, 2, 5, Some(15), 10);
+    gateway.confirm(millis(10), millis(20));
+    expect_that!(gateway.is_able(millis(20)), eq(true));
+    gateway.confirm(millis(9_000), millis(9_010));
+    expect_that!(gateway.is_able(millis(9_010)), eq(false));
+    hear(&mut gateway, 2, 30, Some(20), 9_100);
+    gateway.settle(millis(9_100));
+    expect_that!(gateway.is_able(millis(9_100)), eq(false));
+    expect_that!(gateway.catch_up(millis(9_100)), some(eq(peers(2))));
+    gateway.set_table(table(20));
+    gateway.settle(millis(9_110));
+    expect_that!(gateway.is_able(millis(9_110)), eq(true));
+}
+
+/// Guards against a gateway that is cut off from all others and never serves again.
+#[gtest]
+fn a_gateway_that_comes_back_to_the_store_alone_serves_after_a_moment_and_goes_on() {
+    let mut gateway = gateway(&[peers(2)]);
+    gateway.set_table(table(15));
+    hear(&mut gateway, 2, 5, Some(15), 10);
+    gateway.confirm(millis(10), millis(20));
+    gateway.confirm(millis(9_000), millis(9_010));
+    gateway.settle(millis(9_609));
+    expect_that!(gateway.is_able(millis(9_609)), eq(false));
+    gateway.settle(millis(9_610));
+    expect_that!(gateway.is_able(millis(9_610)), eq(true));
+    gateway.confirm(millis(9_700), millis(9_710));
+    expect_that!(gateway.knowledge.age(millis(9_710)), some(eq(millis(10))));
+}
+
+/// Guards against a gateway that starts beside another one and takes its word for that of all.
+#[gtest]
+fn a_gateway_that_starts_waits_for_one_that_serves_or_for_all_that_it_asks_first() {
+    let starting = |number| Entry {
+        is_ready: false,
+        ..serving(number, None)
+    };
+    for others_start in [false, true] {
+        let mut gateway = gateway(&[peers(2), peers(3)]);
+        gateway.set_table(table(15));
+        gateway.confirm(millis(10), millis(20));
+        gateway.roster.hear(&support::beat(starting(2)), millis(30));
+        gateway.settle(millis(30));
+        expect_that!(gateway.is_able(millis(30)), eq(false));
+        if others_start {
+            gateway.roster.hear(&support::beat(starting(3)), millis(60));
+        } else {
+            hear(&mut gateway, 3, 9, Some(20), 60);
+        }
+        gateway.settle(millis(60));
+        expect_that!(gateway.is_able(millis(60)), eq(others_start));
+        expect_that!(gateway.catch_up(millis(60)).is_some(), eq(!others_start));
+    }
+}
+
 /// Guards against gateways that wait for each other after all lost power.
 #[gtest]
 fn a_gateway_that_hears_of_no_newer_version_serves_at_once() {
