A gateway that comes back serves once another one told what it serves by

What callers could see: a key that was taken away over five seconds before works again for about a second, at a gateway that stood still, was cut off or started while the store had lost that change.

Cause: only a gateway in its first 0.6 s waited for the word of another one, and the word of any was enough, also of one that started with it. One that woke or was no longer cut off took what the restored store said for current at once, and asked those that are ahead 0.9 s later, as in ordinary changes.

Now a confirmation after a gap counts once a gateway that serves spoke since, or all seeds did, or 0.6 s passed; one that is behind then asks at once.

Why it works: what others serve by is told with each beat, and a reply comes within a round trip. Left: a gateway that no other one reaches within 0.6 s serves by what the store says.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -44,6 +44,7 @@
 use crate::upstream::Outcome;
 use crate::upstream::Pool;
 use crate::upstream::Upstream;
+use crate::version::Company;
 
 /// Time to come back when no upstream takes work: a group forms anew within about a second.
 pub(crate) const NO_UPSTREAM_RETURN: Duration = Duration::from_millis(800);
@@ -101,12 +102,8 @@
     pub groups: Groups,
     /// Age of what is known.
     pub knowledge: Knowledge,
-    /// As of when all is known once no other gateway is ahead.
-    pub(crate) unconfirmed: Option<Monotonic>,
-    /// Since when another gateway is ahead.
-    pub(crate) behind_since: Option<Monotonic>,
-    /// When one that is ahead was asked last.
-    pub(crate) asked_ahead: Option<Monotonic>,
+    /// What is known of the configurations that others serve by.
+    pub(crate) company: Company,
     /// What was read of the store.
     pub spread: Spread,
     /// Requests that crash what runs them.
@@ -138,9 +135,7 @@
             pool: Pool::default(),
             roster,
             knowledge: Knowledge::new(bounds.revocation),
-            unconfirmed: None,
-            behind_since: None,
-            asked_ahead: None,
+            company: Company::default(),
             spread: Spread::default(),
             quarantine: Quarantine::default(),
             limits: Limits::default(),
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -60,7 +60,7 @@
 pub enum Datagram {
     /// Beat of another gateway.
     Beat(Beat),
-    /// Reply to the first beat of another gateway; it is not replied to.
+    /// Reply to the beat of another gateway that is back; it is not replied to.
     Introduction(Beat),
     /// Question of a sidecar.
     Ask(Ask),
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -41,6 +41,8 @@
 pub const MAX_COUNTS: usize = 64;
 /// Time after which a gateway that was not heard of is forgotten.
 const FORGET: Duration = Duration::from_mins(1);
+/// Number of the first beat of a process.
+const FIRST_BEAT: u64 = 1;
 /// Beats after which the seeds are told again, since they may have been down.
 const SEED_BEATS: u64 = 6;
 
@@ -57,6 +59,8 @@
 struct Known {
     entry: Entry,
     heard: Monotonic,
+    /// When it spoke itself last.
+    spoke: Option<Monotonic>,
 }
 
 impl Known {
@@ -88,6 +92,8 @@
     me: Entry,
     seeds: Vec<SocketAddr>,
     others: BTreeMap<InstanceId, Known>,
+    /// From when on the words of others tell how things are.
+    listening_from: Monotonic,
     /// Most gateways that were members at once, this one included.
     most: usize,
 }
@@ -100,6 +106,7 @@
             me,
             seeds,
             others: BTreeMap::new(),
+            listening_from: Monotonic::ZERO,
             most: 1,
         }
     }
@@ -138,14 +145,21 @@
         newest.map(|(version, entry)| (version, entry.peers))
     }
 
-    /// Returns whether any other gateway was heard of.
-    pub(crate) fn has_heard(&self) -> bool {
-        !self.others.is_empty()
+    /// Takes that what was heard before `now` may be out of date.
+    pub(crate) fn listen_from(&mut self, now: Monotonic) {
+        self.listening_from = now;
     }
 
-    /// Returns whether there are others to ask first.
-    pub(crate) fn has_seeds(&self) -> bool {
-        self.seeds.iter().any(|seed| *seed != self.me.peers)
+    /// Returns whether a gateway that serves spoke of late, or all that are asked first did.
+    pub(crate) fn is_informed(&self, now: Monotonic) -> bool {
+        let speaking = self.others.values().filter(|known| {
+            let spoke = known.spoke.filter(|at| *at > self.listening_from);
+            spoke.is_some_and(|at| now.saturating_sub(at) < LIFE)
+        });
+        let speaking: Vec<&Entry> = speaking.map(|known| &known.entry).collect();
+        let spoke = |seed: &SocketAddr| speaking.iter().any(|entry| entry.peers == *seed);
+        let mut seeds = self.seeds.iter().filter(|seed| **seed != self.me.peers);
+        speaking.iter().any(|entry| entry.is_ready) || seeds.all(spoke)
     }
 
     /// Sets whether the store does not answer this gateway.
@@ -236,6 +250,11 @@
             }
         });
         if !is_newer {
+            let known = self.others.get_mut(&entry.instance);
+            if let Some(known) = known.filter(|known| is_own_word && known.entry.beat == entry.beat)
+            {
+                known.spoke = Some(now);
+            }
             return None;
         }
         let is_news =
@@ -245,12 +264,23 @@
             instance: entry.instance.clone(),
             is_ready: entry.is_ready,
         };
-        let heard = now;
-        self.others
-            .insert(entry.instance.clone(), Known { entry, heard });
+        let before = known.and_then(|known| known.spoke);
+        let known = Known {
+            entry,
+            heard: now,
+            spoke: if is_own_word { Some(now) } else { before },
+        };
+        self.others.insert(known.entry.instance.clone(), known);
         is_news.then_some(news)
     }
 
+    /// Returns whether the sender of a beat just started, or was not heard of for so long that nobody tells it anything.
+    #[must_use]
+    pub fn is_back(&self, beat: &Beat, now: Monotonic) -> bool {
+        let known = self.others.get(&beat.from.instance);
+        beat.from.beat == FIRST_BEAT || known.is_none_or(|known| !known.lives(now))
+    }
+
     /// Takes that this process stood still for a time, in which it could hear nobody.
     pub fn pause(&mut self, pause: Duration) {
         for known in self.others.values_mut() {
@@ -284,9 +314,8 @@
         }
     }
 
-    /// Returns the last beat with news of some others, for a gateway that just started.
-    #[must_use]
-    pub fn introduction(&self, now: Monotonic, rng: &mut impl Rng) -> Beat {
+    /// Returns the last beat with news of some others, for a gateway that is back.
+    pub(crate) fn introduction(&self, now: Monotonic, rng: &mut impl Rng) -> Beat {
         let live = self.others.values().filter(|known| known.lives(now));
         let told = live.choose_multiple(rng, TOLD);
         Beat {
@@ -300,9 +329,15 @@
         let live = self.others.values().filter(|known| known.lives(now));
         let addresses = live.map(|known| known.entry.peers);
         let mut targets = addresses.choose_multiple(rng, FANOUT);
-        if targets.len() < FANOUT / 2 || self.me.beat.is_multiple_of(SEED_BEATS) {
+        let is_lonely = targets.len() < FANOUT / 2;
+        if is_lonely || self.me.beat.is_multiple_of(SEED_BEATS) {
             targets.extend(self.seeds.iter().filter(|seed| **seed != self.me.peers));
         }
+        if is_lonely {
+            // One that was cut off may find others that it knew where its seeds are gone.
+            let known = self.others.values().map(|known| known.entry.peers);
+            targets.extend(known.choose_multiple(rng, FANOUT));
+        }
         targets.sort_unstable();
         targets.dedup();
         targets
--- a/crates/gateway/tests/all/fleet/mod.rs
+++ b/crates/gateway/tests/all/fleet/mod.rs
@@ -60,6 +60,7 @@
 #[derive(Clone)]
 enum Message {
     Beat(Beat),
+    Introduction(Beat),
     Limits(Vec<Notice>),
     Loan(Loan),
     Ask(Ask),
@@ -313,6 +314,16 @@
         let gateway = &mut node.gateway;
         match message {
             Message::Beat(beat) => {
+                let is_back = gateway.roster.is_back(&beat, local);
+                gateway.roster.hear(&beat, local);
+                if is_back {
+                    let mut rng = ChaCha8Rng::from_rng(&mut self.rng);
+                    let (node, local) = self.at(number, now);
+                    let word = node.gateway.introduction(local, &mut rng);
+                    self.send(number, peers(from), Message::Introduction(word), now);
+                }
+            }
+            Message::Introduction(beat) => {
                 gateway.roster.hear(&beat, local);
             }
             Message::Limits(notices) => {
--- a/crates/gateway/tests/all/restore.rs
+++ b/crates/gateway/tests/all/restore.rs
@@ -224,11 +224,11 @@
         let gateway = &mut node.gateway;
         let reply = match message {
             Message::Beat(beat) => {
+                let is_back = gateway.roster.is_back(&beat, now);
                 gateway.roster.hear(&beat, now);
-                let is_first = beat.from.beat == 1;
-                is_first.then(|| {
+                is_back.then(|| {
                     let mut rng = ChaCha8Rng::from_rng(&mut self.rng);
-                    Message::Introduction(gateway.roster.introduction(now, &mut rng))
+                    Message::Introduction(gateway.introduction(now, &mut rng))
                 })
             }
             Message::Introduction(beat) => {
@@ -272,6 +272,8 @@
         let now = self.now.saturating_sub(node.started);
         let gateway = &mut node.gateway;
         gateway.settle(now);
+        let is_able = gateway.is_able(now);
+        gateway.roster.set_ready(is_able);
         let need = gateway.need(now);
         if need == Need::Nothing || self.now < node.next_read {
             return;
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -35,9 +35,6 @@
 /// than the bound on revocation, and removals are known well within the bound on draining.
 const QUESTION_BEATS: u64 = 2;
 
-/// Number of the first beat of a process.
-const FIRST_BEAT: u64 = 1;
-
 /// Sends beats at a steady pace and takes those of others.
 pub(crate) async fn run(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let mut rng = SmallRng::from_os_rng();
@@ -144,9 +141,10 @@
 fn hear(shared: &Rc<Shared>, bytes: &[u8], from: SocketAddr) {
     match postcard::from_bytes(bytes) {
         Ok(Datagram::Beat(beat)) => {
-            let is_first = beat.from.beat == FIRST_BEAT && beat.from.peers == from;
+            let is_back = shared.gateway().roster.is_back(&beat, shared.now());
+            let is_back = is_back && beat.from.peers == from;
             take(shared, beat);
-            if is_first {
+            if is_back {
                 introduce(shared, from);
             }
         }
@@ -210,21 +208,19 @@
     }
     let neighbour = stable(0, beat.from.instance.as_bytes());
     gateway.pool.set_elsewhere(neighbour, beat.counts, now);
-    let is_new_here = gateway.knowledge.age(now).is_none();
+    let waits_to_serve = gateway.waits_to_serve(now);
     drop(gateway);
-    if is_new_here {
+    if waits_to_serve {
         catch_up(shared, now);
         shared.refresh();
     }
 }
 
-/// Tells a gateway that just started of this one and some others, so that it need not wait for their beats.
+/// Tells a gateway that is back of this one and some others, so that it need not wait for their beats.
 fn introduce(shared: &Shared, to: SocketAddr) {
     let now = shared.now();
     let gateway = shared.gateway();
-    let word = gateway
-        .roster
-        .introduction(now, &mut SmallRng::from_os_rng());
+    let word = gateway.introduction(now, &mut SmallRng::from_os_rng());
     drop(gateway);
     shared.tell(&Datagram::Introduction(word), to);
 }
