Fleets of 6, 98 and 340 gateways before upstreams that leave

Word of a leaving upstream was tested with one gateway, as decisions and as a process. Here whole fleets start, stop, freeze and are cut off from each other while upstreams with a limit say in their answers that they leave and the list goes on to have them ready: first sends and those that wait for a permit.

--- a/crates/gateway/tests/all/fleet/mod.rs
+++ b/crates/gateway/tests/all/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! than these take. What reaches each upstream is counted.
 
 mod backoff;
+mod leaving;
 mod limit;
 
 use std::cmp::Reverse;
@@ -32,6 +33,7 @@
 use auburnline_quota::loan::Loan;
 use rand::Rng as _;
 use rand::SeedableRng as _;
+use rand::seq::IndexedRandom as _;
 use rand_chacha::ChaCha8Rng;
 
 use crate::gateway::BOUNDS;
@@ -103,6 +105,8 @@
     told: Vec<Option<Time>>,
     /// When each upstream last asked it to back off.
     asked: Vec<Option<Time>>,
+    /// Whether it passed on that each upstream leaves.
+    knows_leaving: Vec<bool>,
     waiting: BTreeMap<u64, (Ask, usize)>,
 }
 
@@ -116,7 +120,9 @@
     rate: Rate,
     /// Time for which the limited upstreams ask each gateway to back off with each answer, in place of a limit.
     backoff: Option<Duration>,
-    /// Requests that reached an upstream within such a time.
+    /// When the limited upstreams begin to say in all answers that they leave; the list goes on to have them ready.
+    leaving_from: Option<Time>,
+    /// Requests sent to an upstream that its gateway knows not to want them.
     unwanted: usize,
     /// Mean time between two requests at one gateway.
     pause: Duration,
@@ -163,6 +169,7 @@
             upstreams: upstreams.collect(),
             rate,
             backoff: None,
+            leaving_from: None,
             unwanted: 0,
             pause: Duration::from_secs_f64(f64::from(gateways) / (rate * 40.0).max(60.0)),
             arrived: vec![Vec::new(); LIMITED],
@@ -199,6 +206,7 @@
             mute_until: Time::ZERO,
             told: vec![None; LIMITED],
             asked: vec![None; LIMITED],
+            knows_leaving: vec![false; LIMITED],
             waiting: BTreeMap::new(),
         });
         let first = Duration::from_micros(self.rng.random_range(0..300_000));
@@ -292,7 +300,14 @@
 
     fn tick(&mut self, number: usize, now: Time) {
         let mut rng = ChaCha8Rng::from_rng(&mut self.rng);
+        let written = self.leaving_from.and_then(|_| {
+            let one = self.upstreams.choose(&mut rng)?;
+            Some(Upstream::clone(one))
+        });
         let (node, local) = self.at(number, now);
+        if let Some(written) = written {
+            node.gateway.pool.insert(written);
+        }
         let beat = node.gateway.roster.beat(Vec::new(), local, &mut rng);
         let targets = node.gateway.roster.targets(local, &mut rng);
         let notices = node.gateway.beat_limits(local);
@@ -345,7 +360,7 @@
                 let consent = gateway.take_reply(ask, Some(reply.permit), local);
                 let target = Arc::clone(&self.upstreams[upstream]);
                 let (node, local) = self.at(number, now);
-                if consent == Consent::Granted && node.gateway.is_open(&target, local) {
+                if consent == Consent::Granted && node.gateway.wants_work(&target, local) {
                     self.forward(number, upstream, now);
                 }
             }
@@ -383,8 +398,10 @@
                 .as_ref()
                 .and_then(|node| node.asked[upstream]);
             let backoff = self.backoff.unwrap_or_default();
-            let is_unwanted = asked.is_some_and(|at| (at + TOLD..at + backoff).contains(&now));
-            self.unwanted += usize::from(is_unwanted);
+            let is_early = asked.is_some_and(|at| (at + TOLD..at + backoff).contains(&now));
+            let node = self.nodes[node].as_ref();
+            let is_leaving = node.is_some_and(|node| node.knows_leaving[upstream]);
+            self.unwanted += usize::from(is_early || is_leaving);
         }
         self.put(now + ANSWER, node, Event::Answer(upstream, now));
     }
@@ -393,6 +410,7 @@
         let speaks = upstream < LIMITED && now >= NAMED;
         let backoff = self.backoff.filter(|_| speaks);
         let rate = (speaks && backoff.is_none()).then_some(self.rate);
+        let is_leaving = speaks && self.leaving_from.is_some_and(|at| now >= at);
         let target = Arc::clone(&self.upstreams[upstream]);
         let (node, local) = self.at(number, now);
         let sent = sent.saturating_sub(node.started);
@@ -401,6 +419,10 @@
             node.gateway.back_off(&target, backoff, local);
             node.asked[upstream] = Some(now);
         }
+        if is_leaving {
+            node.gateway.pool.leave(&target);
+            node.knows_leaving[upstream] = true;
+        }
         if rate.is_some() {
             node.told[upstream].get_or_insert(now);
         }
