The store's return is logged also where it waited for another gateway's word

Gateway::settle returned that the store answers again and Shared::refresh dropped it, so that msg=regained was missing in just the case in which an operator looks for it: a gateway that came back and waited.

--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -11,6 +11,7 @@
 
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::Gateway;
+use auburnline_gateway::knowledge;
 use auburnline_gateway::message::Datagram;
 use auburnline_gateway::route::ServiceId;
 use auburnline_gateway::spread::Question;
@@ -30,6 +31,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::source::log_changes;
+use crate::tell::millis;
 
 /// Longest wait for a connection to an upstream: many times a round trip between failure domains,
 /// and short beside the aims of callers, so that another upstream can still answer in time.
@@ -214,12 +216,15 @@
     pub(crate) fn refresh(&self) {
         let now = self.now();
         let mut gateway = self.gateway();
-        gateway.settle(now);
+        let change = gateway.settle(now);
+        if change == knowledge::Change::Regained {
+            tell_regained(&gateway, now);
+        }
         let is_ready = gateway.is_able(now) && !self.is_leaving();
         if gateway.roster.set_ready(is_ready) {
             let age = gateway.knowledge.age(now).unwrap_or_default();
             let version = gateway.version();
-            log::info!(target: "gateway", is_ready, version:?, age_ms = crate::tell::millis(age); "readiness");
+            log::info!(target: "gateway", is_ready, version:?, age_ms = millis(age); "readiness");
         }
     }
 
@@ -280,6 +285,12 @@
     }
 }
 
+/// Logs that the store answers again.
+pub(crate) fn tell_regained(gateway: &Gateway, now: Monotonic) {
+    let age_ms = millis(gateway.knowledge.age(now).unwrap_or_default());
+    log::info!(target: "store", age_ms; "regained");
+}
+
 #[expect(clippy::cast_precision_loss, reason = "revisions are far below 2^52")]
 fn real(number: u64) -> f64 {
     number as f64
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::shared::Shared;
+use crate::shared::tell_regained;
 use crate::tell::millis;
 
 /// Time between two looks whether there is something to read.
@@ -198,11 +199,12 @@
     /// Takes that nothing older than `known_at` is unknown.
     fn know(&self, known_at: Monotonic) {
         let now = self.now();
-        let change = self.0.gateway().confirm(known_at, now);
+        let mut gateway = self.0.gateway();
+        let change = gateway.confirm(known_at, now);
         if change == knowledge::Change::Regained {
-            let age_ms = millis(now.saturating_sub(known_at));
-            log::info!(target: "store", age_ms; "regained");
+            tell_regained(&gateway, now);
         }
+        drop(gateway);
         self.0.refresh();
     }
 
