The late word of an earlier start does not replace that of a later one

What could happen: an upstream that starts again under its id, leaves again and is listed as ready late gets new work, if an answer of the start before, which left as well, arrives after its own word. Found by reading; not seen in a run.

Cause: one start was kept for each id, the one that was noted last. Now each start is kept by itself, whatever the order of the words or of the times told.

Test: the_word_of_an_earlier_start_does_not_replace_that_of_a_later_one, which failed before both ways.

--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -12,50 +12,66 @@
 /// Starts that are kept at most, several times a large fleet; of more, those that were noted first are let go.
 const MOST_KEPT: usize = 4_096;
 
-/// What is known of one id.
-#[derive(Clone, Copy, Debug)]
+/// One start under an id.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Start {
+    id: UpstreamId,
     /// Time of the start; none if it was never told.
     born: Option<u64>,
-    /// Number of the note, in the order of noting.
-    number: u64,
 }
 
-/// Some starts of upstreams.
+/// Some starts of upstreams, each with the number of its note, in the order of noting.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Starts {
-    known: BTreeMap<UpstreamId, Start>,
+    known: BTreeMap<Start, u64>,
     notes: u64,
 }
 
 impl Starts {
-    /// Takes a start in, in place of an earlier one under its id.
+    /// Takes a start in. One that tells no time is taken for those noted under its id, if there are any.
     pub(crate) fn note(&mut self, upstream: &Upstream) {
         self.notes += 1;
-        let known = self.known.get(&upstream.id);
+        let is_untold = upstream.born.is_none() && self.of(&upstream.id).next().is_some();
+        if is_untold {
+            return;
+        }
         let start = Start {
-            born: upstream.born.or_else(|| known?.born),
-            number: self.notes,
+            id: upstream.id.clone(),
+            born: upstream.born,
         };
-        self.known.insert(upstream.id.clone(), start);
+        self.known.insert(start, self.notes);
         if self.known.len() > MOST_KEPT {
-            let first = self.known.iter().min_by_key(|(_, one)| one.number);
-            if let Some(first) = first.map(|(id, _)| id.clone()) {
+            let first = self.known.iter().min_by_key(|(_, number)| **number);
+            if let Some(first) = first.map(|(start, _)| start.clone()) {
                 self.known.remove(&first);
             }
         }
     }
 
     /// Leaves out what was noted under an id.
-    pub(crate) fn forget(&mut self, id: &str) {
-        self.known.remove(id);
+    pub(crate) fn forget(&mut self, id: &UpstreamId) {
+        let noted: Vec<_> = self.of(id).collect();
+        for born in noted {
+            let id = id.clone();
+            self.known.remove(&Start { id, born });
+        }
     }
 
-    /// Returns whether a start was noted. An entry that tells no time of its start is taken for the noted one.
+    /// Returns whether a start was noted. An entry that tells no time of its start is taken for a noted one.
     pub(crate) fn holds(&self, upstream: &Upstream) -> bool {
-        self.known.get(&upstream.id).is_some_and(|start| {
-            let starts = start.born.zip(upstream.born);
+        self.of(&upstream.id).any(|born| {
+            let starts = born.zip(upstream.born);
             starts.is_none_or(|(known, told)| known == told)
         })
     }
+
+    /// Returns the times of the starts that were noted under an id.
+    fn of(&self, id: &UpstreamId) -> impl Iterator<Item = Option<u64>> {
+        let start = |born| Start {
+            id: id.clone(),
+            born,
+        };
+        let all = self.known.range(start(None)..=start(Some(u64::MAX)));
+        all.map(|(start, _)| start.born)
+    }
 }
--- a/crates/gateway/tests/all/departure.rs
+++ b/crates/gateway/tests/all/departure.rs
@@ -84,6 +84,20 @@
     expect_that!(pool.takes_work(&started(1, State::Ready)), eq(false));
 }
 
+/// Guards against the late word of an earlier start that lets a later one, which leaves too, have work again.
+#[gtest]
+fn the_word_of_an_earlier_start_does_not_replace_that_of_a_later_one() {
+    for (earlier, later) in [(1, 2), (2, 1)] {
+        let mut pool = Pool::default();
+        pool.insert(started(earlier, State::Ready));
+        pool.insert(started(later, State::Ready));
+        pool.leave(&started(later, State::Ready));
+        pool.leave(&started(earlier, State::Ready));
+        pool.insert(started(later, State::Ready));
+        expect_that!(pool.ready("desk"), eq(0));
+    }
+}
+
 const HOLD: u64 = 4_800;
 
 /// Guards against an upstream that was removed and gets work again since its entry is in the copy from which the store came back.
