--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -1,5 +1,6 @@
 //! Configurations and upstreams for the tests.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -131,3 +132,14 @@
         members: 1,
     }
 }
+
+/// Returns the address of a gateway of a fleet towards others.
+pub(crate) fn peers(number: usize) -> SocketAddr {
+    let port = u16::try_from(number).expect("a small fleet") + 1;
+    ([10, 0, 2, 1], port).into()
+}
+
+/// Returns the number of the gateway with this address.
+pub(crate) fn number(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 1
+}
