Fleets before upstreams that leave or ask for backoff: one way to play both

The two tests of backoff became one which plays the same fleets, seeds and faults with the same checks; so do those of leaving.

--- a/crates/gateway/tests/all/fleet/backoff.rs
+++ b/crates/gateway/tests/all/fleet/backoff.rs
@@ -7,10 +7,9 @@
 use super::LIMITED;
 use super::NAMED;
 use super::World;
+use super::play;
 
 const BACKOFF: Duration = Duration::from_secs(3);
-/// Gateways of each fleet.
-const FLEETS: [usize; 3] = [6, 98, 340];
 
 fn start(count: usize, seed: u64) -> World {
     let mut world = World::start(count, 30.0, seed);
@@ -28,26 +27,9 @@
     }
 }
 
-/// Guards against gateways that go on sending to an upstream which asked them for backoff.
+/// Guards against gateways that go on sending to an upstream which asked them for backoff, and against a time that is forgotten or
+/// stretched while they start, stop, freeze and are cut off.
 #[gtest]
-fn backoff_is_heeded_by_fleets_of_all_sizes() {
-    for count in FLEETS {
-        let mut world = start(count, 1);
-        world.run();
-        expect_heeded(&world);
-    }
-}
-
-/// Guards against a time that is forgotten or stretched while gateways start, stop, freeze and are cut off.
-#[gtest]
-fn backoff_is_heeded_while_gateways_start_stop_freeze_and_are_cut() {
-    for count in FLEETS {
-        for seed in 1..=3 {
-            println!("seed {seed}");
-            let mut world = start(count, seed);
-            world.add_faults(seed);
-            world.run();
-            expect_heeded(&world);
-        }
-    }
+fn backoff_is_heeded_by_fleets_that_start_stop_freeze_and_are_cut() {
+    play(start, expect_heeded);
 }
--- a/crates/gateway/tests/all/fleet/leaving.rs
+++ b/crates/gateway/tests/all/fleet/leaving.rs
@@ -8,11 +8,10 @@
 use super::LIMITED;
 use super::NAMED;
 use super::World;
+use super::play;
 
 /// Time at which the upstreams begin to say so, while they have a limit: permits are on their way.
 const LEAVING: Duration = Duration::from_secs(8);
-/// Gateways of each fleet.
-const FLEETS: [usize; 3] = [6, 98, 340];
 
 fn start(count: usize, seed: u64) -> World {
     let mut world = World::start(count, 30.0, seed);
@@ -35,26 +34,9 @@
     expect_that!(told.count(), gt(0), "{gateways} gateways");
 }
 
-/// Guards against gateways that go on sending to an upstream which told them that it leaves.
+/// Guards against gateways that go on sending to an upstream which told them that it leaves, and against a word that is forgotten or
+/// taken back while they start, stop, freeze and are cut off.
 #[gtest]
-fn leaving_is_heeded_by_fleets_of_all_sizes() {
-    for count in FLEETS {
-        let mut world = start(count, 1);
-        world.run();
-        expect_heeded(&world);
-    }
-}
-
-/// Guards against a word that is forgotten or taken back while gateways start, stop, freeze and are cut off.
-#[gtest]
-fn leaving_is_heeded_while_gateways_start_stop_freeze_and_are_cut() {
-    for count in FLEETS {
-        for seed in 1..=3 {
-            println!("seed {seed}");
-            let mut world = start(count, seed);
-            world.add_faults(seed);
-            world.run();
-            expect_heeded(&world);
-        }
-    }
+fn leaving_is_heeded_by_fleets_that_start_stop_freeze_and_are_cut() {
+    play(start, expect_heeded);
 }
--- /dev/null
+++ b/crates/gateway/tests/all/fleet/world.rs
@@ -0,0 +1,342 @@
+//! The course of a run: who sends what to whom, and what goes wrong.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnline_core::time::Monotonic;
+use auburnline_gateway::Gateway;
+use auburnline_gateway::limit::Consent;
+use auburnline_gateway::neighbour::PERIOD;
+use auburnline_gateway::neighbour::Roster;
+use auburnline_gateway::upstream::State;
+use auburnline_gateway::upstream::Upstream;
+use auburnline_gateway::upstream::UpstreamId;
+use auburnline_quota::Rate;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand::seq::IndexedRandom as _;
+use rand_chacha::ChaCha8Rng;
+
+use super::ANSWER;
+use super::END;
+use super::Event;
+use super::Fault;
+use super::LATENCY;
+use super::LIMITED;
+use super::LOST;
+use super::Message;
+use super::NAMED;
+use super::Node;
+use super::TOLD;
+use super::Time;
+use super::World;
+use crate::gateway::BOUNDS;
+use crate::gateway::ask;
+use crate::support::entry;
+use crate::support::millis;
+use crate::support::number;
+use crate::support::peers;
+use crate::support::table;
+use crate::support::upstream;
+
+impl World {
+    /// Starts a fleet in which callers want some times more of the limited upstreams than these take.
+    pub(super) fn start(count: usize, rate: Rate, seed: u64) -> World {
+        let upstreams = (0..=LIMITED).map(|number| {
+            let id = format!("desk-{number}");
+            Arc::new(Upstream {
+                address: ([10, 0, 0, 1], u16::try_from(number).expect("few") + 1).into(),
+                ..upstream(&id, "desk", State::Ready)
+            })
+        });
+        let gateways = u32::try_from(count).expect("a small fleet");
+        let mut world = World {
+            nodes: (0..count).map(|_| None).collect(),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            number: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            upstreams: upstreams.collect(),
+            rate,
+            backoff: None,
+            leaving_from: None,
+            unwanted: 0,
+            pause: Duration::from_secs_f64(f64::from(gateways) / (rate * 40.0).max(60.0)),
+            arrived: vec![Vec::new(); LIMITED],
+            lives: 0,
+            split: Time::ZERO..Time::ZERO,
+            quiet: Time::ZERO..Time::ZERO,
+            used: count,
+        };
+        for node in 0..count {
+            world.boot(node, Time::ZERO);
+        }
+        world
+    }
+
+    fn boot(&mut self, node: usize, now: Time) {
+        self.lives += 1;
+        let me = entry(peers(node).port(), u64::from(self.lives), 0);
+        let roster = Roster::new(me, (0..3).map(peers).collect());
+        let seed = self.rng.random();
+        let mut gateway = Gateway::new("north".into(), BOUNDS, roster, seed);
+        gateway.set_table(table(3));
+        for upstream in &self.upstreams {
+            gateway.pool.insert(Upstream::clone(upstream));
+        }
+        let _ = gateway.knowledge.confirm(Monotonic::ZERO, Monotonic::ZERO);
+        let plan = ask(&mut gateway, "/desk/a", Some("key-1"), 0).expect("a plan");
+        self.nodes[node] = Some(Node {
+            gateway,
+            started: now,
+            life: self.lives,
+            plan,
+            frozen_until: Time::ZERO,
+            deaf_until: Time::ZERO,
+            mute_until: Time::ZERO,
+            told: vec![None; LIMITED],
+            asked: vec![None; LIMITED],
+            knows_leaving: vec![false; LIMITED],
+            waiting: BTreeMap::new(),
+        });
+        let first = Duration::from_micros(self.rng.random_range(0..300_000));
+        self.put(now + first, node, Event::Tick);
+        self.next_request(node, now + first);
+    }
+
+    pub(super) fn put(&mut self, at: Time, node: usize, event: Event) {
+        let life = self.nodes[node].as_ref().map_or(0, |node| node.life);
+        self.number += 1;
+        self.queue.push(Reverse((at, self.number)));
+        self.events.insert(self.number, (node, life, event));
+    }
+
+    fn next_request(&mut self, node: usize, now: Time) {
+        let draw: f64 = self.rng.random_range(1e-9..1.0);
+        let pause = self.pause.mul_f64(-draw.ln());
+        self.put(now + pause, node, Event::Request);
+    }
+
+    pub(super) fn run(&mut self) {
+        while let Some(Reverse((at, number))) = self.queue.pop() {
+            if at > END {
+                return;
+            }
+            let (node, life, event) = self.events.remove(&number).expect("an event");
+            if let Event::Fault(fault) = event {
+                self.harm(node, fault, at);
+                continue;
+            }
+            let is_message = matches!(event, Event::Deliver(..));
+            let Some(of) = &self.nodes[node] else {
+                continue;
+            };
+            if of.life != life && !is_message {
+                continue;
+            }
+            if at < of.frozen_until {
+                // What comes in meanwhile is found when the process goes on.
+                let until = of.frozen_until;
+                self.put(until, node, event);
+                continue;
+            }
+            match event {
+                Event::Tick => self.tick(node, at),
+                Event::Request => self.request(node, at),
+                Event::Deliver(from, message) => self.hear(node, from, message, at),
+                Event::Answer(upstream, sent) => self.answer(node, upstream, sent, at),
+                Event::Fault(_) => {}
+            }
+        }
+    }
+
+    fn harm(&mut self, node: usize, fault: Fault, now: Time) {
+        match (fault, &mut self.nodes[node]) {
+            (Fault::Restart(pause), _) => {
+                self.nodes[node] = None;
+                self.boot(node, now + pause);
+            }
+            (Fault::Freeze(time), Some(of)) => of.frozen_until = now + time,
+            (Fault::Cut(time), Some(of)) => {
+                of.deaf_until = now + time;
+                of.mute_until = now + time;
+            }
+            (Fault::OneWay(time), Some(of)) => of.mute_until = now + time,
+            (_, None) => {}
+        }
+    }
+
+    fn at(&mut self, node: usize, now: Time) -> (&mut Node, Monotonic) {
+        let node = self.nodes[node].as_mut().expect("a gateway that lives");
+        let local = now.saturating_sub(node.started);
+        (node, local)
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: Message, now: Time) {
+        let to = number(to);
+        let is_mute = self.nodes[from]
+            .as_ref()
+            .is_none_or(|one| now < one.mute_until);
+        let is_cut = self.split.contains(&now) && from % 2 != to % 2;
+        let is_deaf = self.nodes[to]
+            .as_ref()
+            .is_none_or(|one| now < one.deaf_until);
+        if is_mute || is_deaf || is_cut || to == from || self.rng.random_ratio(LOST, 100) {
+            return;
+        }
+        let latency = Duration::from_micros(self.rng.random_range(200..LATENCY));
+        self.put(now + latency, to, Event::Deliver(from, message));
+    }
+
+    fn tick(&mut self, number: usize, now: Time) {
+        let mut rng = ChaCha8Rng::from_rng(&mut self.rng);
+        let written = self.leaving_from.and_then(|_| {
+            let one = self.upstreams.choose(&mut rng)?;
+            Some(Upstream::clone(one))
+        });
+        let (node, local) = self.at(number, now);
+        if let Some(written) = written {
+            node.gateway.pool.insert(written);
+        }
+        let beat = node.gateway.roster.beat(Vec::new(), local, &mut rng);
+        let targets = node.gateway.roster.targets(local, &mut rng);
+        let notices = node.gateway.beat_limits(local);
+        let loans = node.gateway.loans(local);
+        for target in targets {
+            self.send(number, target, Message::Beat(beat.clone()), now);
+            if !notices.is_empty() {
+                self.send(number, target, Message::Limits(notices.clone()), now);
+            }
+        }
+        for (home, loan) in loans {
+            self.send(number, home, Message::Loan(loan), now);
+        }
+        self.put(now + PERIOD, number, Event::Tick);
+    }
+
+    fn hear(&mut self, number: usize, from: usize, message: Message, now: Time) {
+        let (node, local) = self.at(number, now);
+        let gateway = &mut node.gateway;
+        match message {
+            Message::Beat(beat) => {
+                let is_back = gateway.roster.is_back(&beat, local);
+                gateway.roster.hear(&beat, local);
+                if is_back {
+                    let mut rng = ChaCha8Rng::from_rng(&mut self.rng);
+                    let (node, local) = self.at(number, now);
+                    let word = node.gateway.introduction(local, &mut rng);
+                    self.send(number, peers(from), Message::Introduction(word), now);
+                }
+            }
+            Message::Introduction(beat) => {
+                gateway.roster.hear(&beat, local);
+            }
+            Message::Limits(notices) => {
+                gateway.hear_limits(&notices, peers(from), local);
+            }
+            Message::Loan(loan) => {
+                gateway.hear_loan(&loan, peers(from), local);
+                let word = gateway.roster.word(Vec::new(), local);
+                self.send(number, peers(from), Message::Beat(word), now);
+            }
+            Message::Ask(ask) => {
+                let reply = gateway.reply(ask, local);
+                self.send(number, peers(from), Message::Reply(reply), now);
+            }
+            Message::Reply(reply) => {
+                let Some((ask, upstream)) = node.waiting.remove(&reply.number) else {
+                    return;
+                };
+                let consent = gateway.take_reply(ask, Some(reply.permit), local);
+                let target = Arc::clone(&self.upstreams[upstream]);
+                let (node, local) = self.at(number, now);
+                if consent == Consent::Granted && node.gateway.wants_work(&target, local) {
+                    self.forward(number, upstream, now);
+                }
+            }
+        }
+    }
+
+    fn request(&mut self, number: usize, now: Time) {
+        self.next_request(number, now);
+        if self.quiet.contains(&now) || number >= self.used {
+            return;
+        }
+        let (node, local) = self.at(number, now);
+        let mut denied: Vec<UpstreamId> = Vec::new();
+        loop {
+            let gateway = &mut node.gateway;
+            let Ok(choice) = gateway.choose_within(None, &node.plan, &[], &denied, local) else {
+                return;
+            };
+            let upstream = usize::from(choice.upstream.address.port()) - 1;
+            match gateway.consent(&choice.upstream, local) {
+                Consent::Granted => return self.forward(number, upstream, now),
+                Consent::Denied => denied.push(choice.upstream.id.clone()),
+                Consent::Ask { home, ask } => {
+                    node.waiting.insert(ask.number, (ask, upstream));
+                    return self.send(number, home, Message::Ask(ask), now);
+                }
+            }
+        }
+    }
+
+    fn forward(&mut self, node: usize, upstream: usize, now: Time) {
+        if upstream < LIMITED {
+            self.arrived[upstream].push((now, node));
+            let asked = self.nodes[node]
+                .as_ref()
+                .and_then(|node| node.asked[upstream]);
+            let backoff = self.backoff.unwrap_or_default();
+            let is_early = asked.is_some_and(|at| (at + TOLD..at + backoff).contains(&now));
+            let node = self.nodes[node].as_ref();
+            let is_leaving = node.is_some_and(|node| node.knows_leaving[upstream]);
+            self.unwanted += usize::from(is_early || is_leaving);
+        }
+        self.put(now + ANSWER, node, Event::Answer(upstream, now));
+    }
+
+    fn answer(&mut self, number: usize, upstream: usize, sent: Time, now: Time) {
+        let speaks = upstream < LIMITED && now >= NAMED;
+        let backoff = self.backoff.filter(|_| speaks);
+        let rate = (speaks && backoff.is_none()).then_some(self.rate);
+        let is_leaving = speaks && self.leaving_from.is_some_and(|at| now >= at);
+        let target = Arc::clone(&self.upstreams[upstream]);
+        let (node, local) = self.at(number, now);
+        let sent = sent.saturating_sub(node.started);
+        node.gateway.take_limit(&target, rate, sent, local);
+        if let Some(backoff) = backoff {
+            node.gateway.back_off(&target, backoff, local);
+            node.asked[upstream] = Some(now);
+        }
+        if is_leaving {
+            node.gateway.pool.leave(&target);
+            node.knows_leaving[upstream] = true;
+        }
+        if rate.is_some() {
+            node.told[upstream].get_or_insert(now);
+        }
+    }
+
+    /// Adds faults of all kinds at gateways drawn by chance.
+    pub(super) fn add_faults(&mut self, seed: u64) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let count = self.nodes.len();
+        for _ in 0..count.min(40) {
+            let at = Duration::from_millis(rng.random_range(4_000..14_000));
+            let time = Duration::from_millis(rng.random_range(300..5_000));
+            let fault = match rng.random_range(0..4) {
+                0 => Fault::Restart(millis(200)),
+                1 => Fault::Freeze(time),
+                2 => Fault::Cut(time),
+                _ => Fault::OneWay(time),
+            };
+            let node = rng.random_range(0..count);
+            self.put(at, node, Event::Fault(fault));
+        }
+    }
+}
