--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -44,7 +44,7 @@
 use crate::upstream::Outcome;
 use crate::upstream::Pool;
 use crate::upstream::Upstream;
-use crate::version::Company;
+use crate::version::Lag;
 
 /// Time to come back when no upstream takes work: a group forms anew within about a second.
 pub(crate) const NO_UPSTREAM_RETURN: Duration = Duration::from_millis(800);
@@ -102,8 +102,8 @@
     pub groups: Groups,
     /// Age of what is known.
     pub knowledge: Knowledge,
-    /// What is known of the configurations that others serve by.
-    pub(crate) company: Company,
+    /// How far this gateway may be behind others.
+    pub(crate) lag: Lag,
     /// What was read of the store.
     pub spread: Spread,
     /// Requests that crash what runs them.
@@ -135,7 +135,7 @@
             pool: Pool::default(),
             roster,
             knowledge: Knowledge::new(bounds.revocation),
-            company: Company::default(),
+            lag: Lag::default(),
             spread: Spread::default(),
             quarantine: Quarantine::default(),
             limits: Limits::default(),
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -329,11 +329,11 @@
         let live = self.others.values().filter(|known| known.lives(now));
         let addresses = live.map(|known| known.entry.peers);
         let mut targets = addresses.choose_multiple(rng, FANOUT);
-        let is_lonely = targets.len() < FANOUT / 2;
-        if is_lonely || self.me.beat.is_multiple_of(SEED_BEATS) {
+        let is_isolated = targets.len() < FANOUT / 2;
+        if is_isolated || self.me.beat.is_multiple_of(SEED_BEATS) {
             targets.extend(self.seeds.iter().filter(|seed| **seed != self.me.peers));
         }
-        if is_lonely {
+        if is_isolated {
             // One that was cut off may find others that it knew where its seeds are gone.
             let known = self.others.values().map(|known| known.entry.peers);
             targets.extend(known.choose_multiple(rng, FANOUT));
--- a/crates/gateway/src/version.rs
+++ b/crates/gateway/src/version.rs
@@ -23,9 +23,9 @@
 /// Time for which a gateway that is behind waits for the readers of the store, who tell most configurations sooner.
 const TOLD_WITHIN: Duration = Duration::from_millis(900);
 
-/// What this gateway knows of the configurations that others serve by.
+/// How far this gateway may be behind others.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Company {
+pub(crate) struct Lag {
     /// As of when all is known once no other gateway is ahead.
     unconfirmed: Option<Monotonic>,
     /// As of when all was known last, confirmed or not.
@@ -38,10 +38,10 @@
     asked_ahead: Option<Monotonic>,
 }
 
-impl Default for Company {
-    /// Returns what a gateway knows that just started.
-    fn default() -> Company {
-        Company {
+impl Default for Lag {
+    /// Returns that of a gateway that just started.
+    fn default() -> Lag {
+        Lag {
             unconfirmed: None,
             known_at: None,
             uninformed_since: Some(Monotonic::ZERO),
@@ -56,24 +56,24 @@
     /// tell it. All gateways that start at once read the store at once, and a configuration is the longest message.
     pub fn catch_up(&mut self, now: Monotonic) -> Option<SocketAddr> {
         let Some(ahead) = self.ahead(now) else {
-            self.company.behind_since = None;
+            self.lag.behind_since = None;
             return None;
         };
-        let since = *self.company.behind_since.get_or_insert(now);
+        let since = *self.lag.behind_since.get_or_insert(now);
         let is_told_late = now.saturating_sub(since) >= TOLD_WITHIN;
-        let asked = self.company.asked_ahead;
+        let asked = self.lag.asked_ahead;
         let is_asked = asked.is_some_and(|at| now.saturating_sub(at) < PERIOD);
         if is_asked || !(self.waits_to_serve(now) || is_told_late) {
             return None;
         }
-        self.company.asked_ahead = Some(now);
+        self.lag.asked_ahead = Some(now);
         Some(ahead)
     }
 
     /// Returns whether this gateway has read the store and does not serve, since another one may be ahead.
     #[must_use]
     pub fn waits_to_serve(&self, now: Monotonic) -> bool {
-        self.company.unconfirmed.is_some() && !self.knowledge.is_fresh(now)
+        self.lag.unconfirmed.is_some() && !self.knowledge.is_fresh(now)
     }
 
     /// Returns what a gateway that is back is told. One that stood still itself may not know yet that it serves no longer.
@@ -92,36 +92,36 @@
 
     /// Takes that nothing of the store older than `known_at` is unknown. It counts once no other gateway is ahead.
     pub fn confirm(&mut self, known_at: Monotonic, now: Monotonic) -> knowledge::Change {
-        let before = self.company.known_at;
+        let before = self.lag.known_at;
         // What was heard before a gap, or waited in the socket during it, tells nothing of what others serve by now.
         if before.is_some_and(|before| known_at.saturating_sub(before) >= LIFE) {
             self.roster.listen_from(now);
-            self.company.uninformed_since = None;
+            self.lag.uninformed_since = None;
         }
-        self.company.known_at = before.max(Some(known_at));
-        self.company.unconfirmed = self.company.unconfirmed.max(Some(known_at));
+        self.lag.known_at = before.max(Some(known_at));
+        self.lag.unconfirmed = self.lag.unconfirmed.max(Some(known_at));
         self.settle(now)
     }
 
     /// Takes what was confirmed and had to wait for the word of another gateway, if it need not any longer.
     pub fn settle(&mut self, now: Monotonic) -> knowledge::Change {
-        let Some(known_at) = self.company.unconfirmed else {
+        let Some(known_at) = self.lag.unconfirmed else {
             return knowledge::Change::None;
         };
         if !self.is_introduced(now) || self.ahead(now).is_some() {
             return knowledge::Change::None;
         }
-        self.company.unconfirmed = None;
+        self.lag.unconfirmed = None;
         self.knowledge.confirm(known_at, now)
     }
 
     /// Returns whether another gateway told what it serves by, or there was time enough for that.
     fn is_introduced(&mut self, now: Monotonic) -> bool {
         if self.roster.is_informed(now) {
-            self.company.uninformed_since = None;
+            self.lag.uninformed_since = None;
             return true;
         }
-        let since = *self.company.uninformed_since.get_or_insert(now);
+        let since = *self.lag.uninformed_since.get_or_insert(now);
         now.saturating_sub(since) >= INTRODUCTION
     }
 }
