--- a/crates/gateway/src/version.rs
+++ b/crates/gateway/src/version.rs
@@ -17,8 +17,8 @@
 use crate::neighbour::LIFE;
 use crate::neighbour::PERIOD;
 
-/// Time for which a gateway that starts or comes back waits for the word of another one: two beats, of which one may be lost. Those that
-/// live reply to the first one of a gateway that starts at once.
+/// Time for which a gateway that starts or comes back waits for the word of another one: two beats, of which one may be lost. Whoever
+/// hears the first one replies at once.
 const INTRODUCTION: Duration = Duration::from_millis(600);
 /// Time for which a gateway that is behind waits for the readers of the store, who tell most configurations sooner.
 const TOLD_WITHIN: Duration = Duration::from_millis(900);
