Log the removal of an upstream when it is heard, and sends to upstreams that are missing from the list

An upstream that leaves the list is not removed at once where its entry may have lapsed while the store was away. Only the removal was logged, so a late send did not show whether its gateway knew. Now msg=missing tells when the removal was heard, a send tells is_missing, and a counter counts such sends.

The test of a full list expected no change at all; it now expects exactly the two that are missing.

--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -49,6 +49,8 @@
     pub report_age: Option<Duration>,
     /// Number of upstreams that were compared.
     pub candidates: usize,
+    /// Whether its entry is missing from the published list, as the store may lack it.
+    pub is_missing: bool,
     /// Rate limit that the upstream named, in requests per second from all gateways together.
     pub limit: Option<Rate>,
 }
@@ -89,6 +91,7 @@
             in_flight: usage.requests,
             report_age: usage.reported.map(|load| load.age),
             candidates: candidates.len(),
+            is_missing: member.is_missing,
             limit: None,
         })
     }
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -8,6 +8,7 @@
 
 use crate::quarantine::StartTag;
 use crate::quarantine::start_tag;
+use crate::upstream::Change;
 use crate::upstream::Outcome;
 use crate::upstream::State;
 use crate::upstream::Upstream;
@@ -77,6 +78,12 @@
         self.is_missing = false;
     }
 
+    /// Marks it as missing from the published list; returns the change if it was not.
+    pub(crate) fn mark_missing(&mut self) -> Option<Change> {
+        let was_missing = std::mem::replace(&mut self.is_missing, true);
+        (!was_missing).then(|| Change::Missing(Arc::clone(&self.upstream)))
+    }
+
     /// Marks it as draining.
     pub(crate) fn mark_draining(&mut self) {
         let upstream = Upstream {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -107,6 +107,8 @@
     Joined(Arc<Upstream>),
     /// An upstream no longer accepts new requests.
     Leaving(Arc<Upstream>),
+    /// An upstream is missing from the list, and removed unless the store may lack its entry.
+    Missing(Arc<Upstream>),
     /// An upstream was removed from the list.
     Gone(Arc<Upstream>),
 }
@@ -177,11 +179,10 @@
     }
 
     /// Records that an upstream is missing from the list; [`Pool::expire`] removes it.
-    pub fn mark_missing(&mut self, id: &str) {
+    pub fn mark_missing(&mut self, id: &str) -> Option<Change> {
         self.untrusted.remove(id);
-        if let Some(member) = self.members.get_mut(id) {
-            member.is_missing = true;
-        }
+        let member = self.members.get_mut(id)?;
+        member.mark_missing()
     }
 
     /// Applies a full list; upstreams that it does not contain are marked as missing.
@@ -190,14 +191,12 @@
         let untrusted_ids: Vec<UpstreamId> = self.untrusted.keys().cloned().collect();
         let trusted = upstreams.into_iter();
         let trusted = trusted.filter(|one| !untrusted_ids.contains(&one.id));
-        let changes = trusted.filter_map(|one| self.insert(one)).collect();
+        let mut changes: Vec<Change> = trusted.filter_map(|one| self.insert(one)).collect();
         let unlisted = self
             .members
             .values_mut()
             .filter(|member| !listed.contains(&member.upstream.id));
-        for member in unlisted {
-            member.is_missing = true;
-        }
+        changes.extend(unlisted.filter_map(Member::mark_missing));
         changes
     }
 
--- a/crates/gateway/tests/all/upstream.rs
+++ b/crates/gateway/tests/all/upstream.rs
@@ -161,7 +161,8 @@
 fn a_whole_list_tells_what_is_missing() {
     let mut pool = pool(3);
     let changes = pool.replace(vec![upstream("u1", "desk", State::Ready)]);
-    assert_that!(changes, is_empty());
+    let missing = || matches_pattern!(Change::Missing(anything()));
+    assert_that!(changes, elements_are![missing(), missing()]);
     assert_that!(pool.expire(false), len(eq(2)));
 }
 
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -266,7 +266,7 @@
                 spread::Change::Upstream(upstream) => {
                     pool_changes.extend(gateway.pool.insert(upstream));
                 }
-                spread::Change::Removed(id) => gateway.pool.mark_missing(&id),
+                spread::Change::Removed(id) => pool_changes.extend(gateway.pool.mark_missing(&id)),
                 spread::Change::Configuration => {}
             }
         }
@@ -287,6 +287,7 @@
         let (word, upstream) = match change {
             upstream::Change::Joined(upstream) => ("joined", upstream),
             upstream::Change::Leaving(upstream) => ("leaving", upstream),
+            upstream::Change::Missing(upstream) => ("missing", upstream),
             upstream::Change::Gone(upstream) => ("gone", upstream),
         };
         log::info!(
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -115,12 +115,16 @@
             limit:? = choice.limit,
             score = choice.score,
             candidates = choice.candidates,
+            is_missing = choice.is_missing,
             left_ms = millis(self.time_left()),
             version = self.plan.version,
             age_ms = millis(self.plan.age);
             "send"
         );
         counter!("auburnline_sends_total").increment(1);
+        if choice.is_missing {
+            counter!("auburnline_sends_missing_total").increment(1);
+        }
     }
 
     /// Logs and counts a failed or abandoned attempt.
