Gateways agree on missing upstreams where one of them lost the store alone

Cause: an entry may lapse while the store is away, so missing upstreams are kept for 2.6 s after the store came back. A gateway took its own loss for the store's, and counted from when it heard again itself.

Now a gateway that keeps missing upstreams asks up to five others each heartbeat up to which revision their lists are settled: they followed the store without a gap for longer than the grace. It believes a majority, since a single one may not have noticed a short outage. In a loss that all share nobody is settled, so the grace holds as before. Both messages come last in the datagram's list; builds without them drop them as malformed.

Tests of the pool name the revision as of which an entry is missing, and use the gateway's own decision where they repeated it.

--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -91,7 +91,7 @@
             in_flight: usage.requests,
             report_age: usage.reported.map(|load| load.age),
             candidates: candidates.len(),
-            is_missing: member.is_missing,
+            is_missing: member.missing_as_of.is_some(),
             limit: None,
         })
     }
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -27,6 +27,8 @@
     /// Whether the last request to the store failed.
     is_failing: bool,
     recovered_at: Option<Monotonic>,
+    /// Since when the store has been followed without a gap.
+    followed_since: Option<Monotonic>,
 }
 
 /// Change of the store's availability.
@@ -49,6 +51,7 @@
             current_at: None,
             is_failing: false,
             recovered_at: None,
+            followed_since: None,
         }
     }
 
@@ -60,11 +63,12 @@
     /// Records an answer to a request that was sent at `asked`.
     pub fn record_success(&mut self, asked: Monotonic, now: Monotonic) -> Change {
         self.current_at = self.current_at.max(Some(asked));
+        self.followed_since.get_or_insert(now);
         if !self.is_failing {
             return Change::None;
         }
         self.is_failing = false;
-        self.recovered_at = Some(now);
+        self.record_recovery(now);
         Change::Regained
     }
 
@@ -80,7 +84,17 @@
     /// Records that the store was restored from a backup, so that entries may be missing until
     /// their upstreams write them again.
     pub const fn record_restore(&mut self, now: Monotonic) {
+        self.record_recovery(now);
+    }
+
+    const fn record_recovery(&mut self, now: Monotonic) {
         self.recovered_at = Some(now);
+        self.followed_since = Some(now);
+    }
+
+    /// Records that the store was not followed for a while, whether or not it was available.
+    pub(crate) const fn record_gap(&mut self, now: Monotonic) {
+        self.followed_since = Some(now);
     }
 
     /// Returns the age of the knowledge; `None` if nothing is known yet.
@@ -102,4 +116,11 @@
         let just_recovered = |at| now.saturating_sub(at) < RECOVERY_GRACE;
         self.is_failing || self.recovered_at.is_some_and(just_recovered)
     }
+
+    /// Returns whether the store has been followed for long enough that live upstreams have entries.
+    #[must_use]
+    pub fn is_settled(&self, now: Monotonic) -> bool {
+        let followed_long = |since| now.saturating_sub(since) >= RECOVERY_GRACE;
+        !self.is_failing && self.followed_since.is_some_and(followed_long)
+    }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,7 @@
 use crate::route::Route;
 use crate::route::ServiceId;
 use crate::route::Table;
+use crate::settled::Agreement;
 use crate::spread;
 use crate::spread::FullRead;
 use crate::spread::Need;
@@ -57,6 +58,10 @@
 /// expires, and one for the news to arrive.
 const EXPIRY_HEARTBEATS: u32 = 4;
 
+/// Age of the known state up to which a failed call does not count as a loss of the store: other
+/// gateways read for this one.
+const MAX_RELAYED_AGE: Duration = Duration::from_millis(2_500);
+
 /// Maximum number of gateways named to a sidecar, so that the message fits into one datagram.
 const MAX_GATEWAYS: usize = 512;
 
@@ -86,6 +91,19 @@
     pub has_slowed: bool,
 }
 
+/// A failed request to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreFailure {
+    /// Whether the request before it succeeded.
+    pub is_first: bool,
+    /// Whether other gateways keep this one informed.
+    pub is_relayed: bool,
+    /// Age of the known state; `None` if nothing is known yet.
+    pub age: Option<Duration>,
+    /// Delay before the next request.
+    pub pause: Duration,
+}
+
 /// State of one gateway. It is changed by what the gateway learns and by its own decisions.
 pub struct Gateway {
     pub(crate) failure_domain: FailureDomainId,
@@ -109,6 +127,8 @@
     pub(crate) lag: Lag,
     /// How far the store has been read, and what is passed on to other gateways.
     pub spread: Spread,
+    /// What other gateways agreed on about missing upstreams.
+    pub(crate) agreement: Agreement,
     /// Requests held back because they crash the upstreams that run them.
     pub quarantine: Quarantine,
     /// Rate limits that upstreams announced.
@@ -140,6 +160,7 @@
             freshness: Freshness::new(bounds.revocation),
             lag: Lag::default(),
             spread: Spread::default(),
+            agreement: Agreement::default(),
             quarantine: Quarantine::default(),
             limits: Limits::default(),
             backoffs: Backoffs::default(),
@@ -176,11 +197,11 @@
         now: Monotonic,
     ) -> Vec<Change> {
         match self.spread.record_full_read(revision, configuration) {
-            FullRead::Complete => self.pool.replace(upstreams),
+            FullRead::Complete => self.pool.replace(upstreams, revision),
             FullRead::Restored => {
                 self.freshness.record_restore(now);
                 let until = now + self.bounds.heartbeat * EXPIRY_HEARTBEATS;
-                self.pool.restore(upstreams, until)
+                self.pool.restore(upstreams, revision, until)
             }
         }
     }
@@ -222,6 +243,24 @@
         self.spread.need(is_reader || is_alone, now)
     }
 
+    /// Records that a request to the store failed.
+    pub fn record_store_failure(&mut self, now: Monotonic) -> StoreFailure {
+        let is_first = !self.roster.is_store_unreachable();
+        self.roster.set_store_unreachable(true);
+        let age = self.freshness.age(now);
+        let is_relayed = age.is_some_and(|age| age < MAX_RELAYED_AGE);
+        if !is_relayed {
+            self.freshness.record_failure();
+        }
+        let (_, is_reader) = self.roster.readers(now);
+        StoreFailure {
+            is_first,
+            is_relayed,
+            age,
+            pause: self.spread.record_failure(is_reader),
+        }
+    }
+
     /// Decides how a request is to be served.
     ///
     /// # Errors
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! - `backoff`: which upstreams have asked for backoff
 //! - [`freshness`]: how old the known state may be
 //! - [`spread`]: which gateways read the store on behalf of others
+//! - [`settled`]: which upstreams missing from the list are gone
 //! - `version`: whether another gateway has a newer configuration
 //! - [`event`]: splitting streams into whole events
 //!
@@ -47,6 +48,7 @@
 pub mod request;
 mod retry_budget;
 pub mod route;
+pub mod settled;
 pub mod spread;
 pub mod upstream;
 mod version;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -8,6 +8,7 @@
 
 use crate::quarantine::StartTag;
 use crate::quarantine::start_tag;
+use crate::spread::Revision;
 use crate::upstream::Change;
 use crate::upstream::Outcome;
 use crate::upstream::State;
@@ -37,8 +38,8 @@
     failed_at: Monotonic,
     pub(crate) mean_seconds: Option<f64>,
     mean_at: Monotonic,
-    /// Whether it is missing from the published list.
-    pub(crate) is_missing: bool,
+    /// Revision as of which it is missing from the published list; `None` if it is listed.
+    pub(crate) missing_as_of: Option<Revision>,
 }
 
 impl Member {
@@ -53,7 +54,7 @@
             failed_at: Monotonic::ZERO,
             mean_seconds: None,
             mean_at: Monotonic::ZERO,
-            is_missing: false,
+            missing_as_of: None,
         }
     }
 
@@ -75,13 +76,17 @@
         upstream.born = upstream.born.or(self.upstream.born);
         self.start = start_tag(&upstream);
         self.upstream = Arc::new(upstream);
-        self.is_missing = false;
+        self.missing_as_of = None;
     }
 
-    /// Marks it as missing from the published list; returns the change if it was not.
-    pub(crate) fn mark_missing(&mut self) -> Option<Change> {
-        let was_missing = std::mem::replace(&mut self.is_missing, true);
-        (!was_missing).then(|| Change::Missing(Arc::clone(&self.upstream)))
+    /// Marks it as missing from the published list as of a revision; returns the change if it was
+    /// listed.
+    pub(crate) fn mark_missing(&mut self, as_of: Revision) -> Option<Change> {
+        if self.missing_as_of.is_some() {
+            return None;
+        }
+        self.missing_as_of = Some(as_of);
+        Some(Change::Missing(Arc::clone(&self.upstream)))
     }
 
     /// Marks it as draining.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -16,6 +16,7 @@
 
 use crate::quarantine::Mark;
 use crate::route::Version;
+use crate::settled;
 use crate::spread;
 use crate::upstream::Counts;
 
@@ -86,4 +87,8 @@
     PermitRequest(home::Request),
     /// Reply to [`Datagram::PermitRequest`].
     PermitReply(home::Reply),
+    /// Question up to which revision the receiver's list of upstreams is settled.
+    SettledQuery(settled::Query),
+    /// Reply to [`Datagram::SettledQuery`].
+    SettledReply(settled::Reply),
 }
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -385,6 +385,18 @@
         targets
     }
 
+    /// Returns the peer addresses of other live gateways, at most `most`, selected at random.
+    pub(crate) fn sample(
+        &self,
+        most: usize,
+        now: Monotonic,
+        rng: &mut impl Rng,
+    ) -> Vec<SocketAddr> {
+        let live = self.others.values().filter(|known| known.is_alive(now));
+        let addresses = live.map(|known| known.entry.peers);
+        addresses.choose_multiple(rng, most)
+    }
+
     /// Returns the peer addresses of this gateway and of live others, at most `most`.
     #[must_use]
     pub fn addresses(&self, now: Monotonic, most: usize) -> Vec<SocketAddr> {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -178,15 +178,23 @@
         self.addresses.set_services(services);
     }
 
-    /// Records that an upstream is missing from the list; [`Pool::expire`] removes it.
-    pub fn mark_missing(&mut self, id: &str) -> Option<Change> {
+    /// Records that an upstream is missing from the list as of a revision; [`Pool::expire`] removes
+    /// it.
+    pub fn mark_missing(&mut self, id: &str, as_of: Revision) -> Option<Change> {
         self.untrusted.remove(id);
         let member = self.members.get_mut(id)?;
-        member.mark_missing()
+        member.mark_missing(as_of)
     }
 
-    /// Applies a full list; upstreams that it does not contain are marked as missing.
-    pub fn replace(&mut self, upstreams: Vec<Upstream>) -> Vec<Change> {
+    /// Returns whether an upstream is missing as of a revision after `until`.
+    pub(crate) fn has_missing_after(&self, until: Option<Revision>) -> bool {
+        let mut members = self.members.values();
+        members.any(|member| member.missing_as_of > until)
+    }
+
+    /// Applies a full list as of a revision; upstreams that it does not contain are marked as
+    /// missing.
+    pub fn replace(&mut self, upstreams: Vec<Upstream>, as_of: Revision) -> Vec<Change> {
         let listed: Vec<UpstreamId> = upstreams.iter().map(|one| one.id.clone()).collect();
         let untrusted_ids: Vec<UpstreamId> = self.untrusted.keys().cloned().collect();
         let trusted = upstreams.into_iter();
@@ -196,23 +204,29 @@
             .members
             .values_mut()
             .filter(|member| !listed.contains(&member.upstream.id));
-        changes.extend(unlisted.filter_map(Member::mark_missing));
+        changes.extend(unlisted.filter_map(|member| member.mark_missing(as_of)));
         changes
     }
 
-    /// Removes missing upstreams, unless `may_lack_entries`: the store was unavailable, and entries
-    /// may be written again.
-    pub fn expire(&mut self, may_lack_entries: bool) -> Vec<Change> {
-        if may_lack_entries {
-            return Vec::new();
-        }
+    /// Removes all missing upstreams.
+    pub fn expire(&mut self) -> Vec<Change> {
+        self.remove(|missing_as_of| missing_as_of.is_some())
+    }
+
+    /// Removes the upstreams that are missing as of a revision up to `until`.
+    pub fn expire_until(&mut self, until: Option<Revision>) -> Vec<Change> {
+        self.remove(|missing_as_of| missing_as_of.is_some() && missing_as_of <= until)
+    }
+
+    fn remove(&mut self, is_gone: impl Fn(Option<Revision>) -> bool) -> Vec<Change> {
         let mut removed = Vec::new();
         self.members.retain(|_, member| {
-            if member.is_missing {
+            let is_gone = is_gone(member.missing_as_of);
+            if is_gone {
                 self.removed.record(&member.upstream);
                 removed.push(Change::Gone(Arc::clone(&member.upstream)));
             }
-            !member.is_missing
+            !is_gone
         });
         if !removed.is_empty() {
             let members = self.members.values();
--- a/crates/gateway/src/version.rs
+++ b/crates/gateway/src/version.rs
@@ -107,6 +107,7 @@
         // version others have in force now.
         if before.is_some_and(|before| known_at.saturating_sub(before) >= NEWS_TIMEOUT) {
             self.roster.ignore_until(now);
+            self.freshness.record_gap(now);
             self.lag.uninformed_since = None;
         }
         self.lag.known_at = before.max(Some(known_at));
--- a/crates/gateway/tests/all/backoff.rs
+++ b/crates/gateway/tests/all/backoff.rs
@@ -17,6 +17,7 @@
 use crate::limit::slow_down;
 use crate::limit::tick;
 use crate::support::millis;
+use crate::support::revision;
 
 const BACKOFF: Duration = Duration::from_secs(3);
 
@@ -125,8 +126,8 @@
     let mut gateway = gateway();
     back_off(&mut gateway, "desk-0", 2_200);
     let before = find(&gateway, "desk-0");
-    gateway.pool.mark_missing("desk-0");
-    gateway.pool.expire(false);
+    gateway.pool.mark_missing("desk-0", revision(9));
+    gateway.pool.expire();
     tick(&mut gateway, 2_400);
     gateway.pool.insert(Upstream::clone(&before));
     let sent = press(&mut gateway, "/desk/a", 2_410, 5_200);
--- a/crates/gateway/tests/all/departure.rs
+++ b/crates/gateway/tests/all/departure.rs
@@ -13,6 +13,7 @@
 use crate::limit::gateway;
 use crate::limit::press;
 use crate::support::millis;
+use crate::support::revision;
 use crate::support::upstream;
 
 fn started(born: u64, state: State) -> Upstream {
@@ -60,10 +61,10 @@
         }
         expect_that!(pool.insert(started(1, State::Ready)), none());
         expect_that!(pool.ready("desk"), eq(0));
-        pool.replace(vec![started(1, State::Ready)]);
+        pool.replace(vec![started(1, State::Ready)], revision(9));
         expect_that!(pool.ready("desk"), eq(0));
-        pool.mark_missing("u");
-        pool.expire(false);
+        pool.mark_missing("u", revision(9));
+        pool.expire();
         pool.insert(started(1, State::Ready));
         expect_that!(pool.ready("desk"), eq(0));
         let without_start_time = upstream("u", "desk", State::Ready);
@@ -111,19 +112,23 @@
     for is_written in [false, true] {
         let mut pool = Pool::default();
         pool.insert(started(1, State::Ready));
-        pool.mark_missing("u");
-        pool.expire(false);
-        pool.restore(vec![started(1, State::Ready)], millis(TRUST_AFTER_MS));
+        pool.mark_missing("u", revision(9));
+        pool.expire();
+        pool.restore(
+            vec![started(1, State::Ready)],
+            revision(9),
+            millis(TRUST_AFTER_MS),
+        );
         expect_that!(pool.ready("desk"), eq(0));
         // Another full read, as after the store lost its history.
-        pool.replace(vec![started(1, State::Ready)]);
+        pool.replace(vec![started(1, State::Ready)], revision(9));
         expect_that!(pool.take_trusted(millis(TRUST_AFTER_MS - 1)), is_empty());
         expect_that!(pool.ready("desk"), eq(0));
         if is_written {
             pool.insert(started(1, State::Ready));
             expect_that!(pool.ready("desk"), eq(1));
         } else {
-            pool.mark_missing("u");
+            pool.mark_missing("u", revision(9));
             expect_that!(pool.take_trusted(millis(TRUST_AFTER_MS)), is_empty());
             expect_that!(pool.ready("desk"), eq(0));
         }
@@ -135,9 +140,13 @@
 fn an_entry_that_stays_listed_is_believed_in_the_end() {
     let mut pool = Pool::default();
     pool.insert(started(1, State::Ready));
-    pool.mark_missing("u");
-    pool.expire(false);
-    pool.restore(vec![started(1, State::Ready)], millis(TRUST_AFTER_MS));
+    pool.mark_missing("u", revision(9));
+    pool.expire();
+    pool.restore(
+        vec![started(1, State::Ready)],
+        revision(9),
+        millis(TRUST_AFTER_MS),
+    );
     expect_that!(pool.take_trusted(millis(TRUST_AFTER_MS)), len(eq(1)));
     expect_that!(pool.ready("desk"), eq(1));
 }
@@ -149,12 +158,16 @@
     let mut pool = Pool::default();
     pool.insert(started(1, State::Ready));
     pool.insert(started(2, State::Ready));
-    pool.restore(vec![started(1, State::Ready)], millis(TRUST_AFTER_MS));
+    pool.restore(
+        vec![started(1, State::Ready)],
+        revision(9),
+        millis(TRUST_AFTER_MS),
+    );
     expect_that!(pool.is_ready(&started(2, State::Ready)), eq(true));
     expect_that!(pool.is_ready(&started(1, State::Ready)), eq(false));
     // Its entry is written again before the entries of the backup become trusted.
     pool.insert(started(2, State::Ready));
-    expect_that!(pool.expire(false), is_empty());
+    expect_that!(pool.expire(), is_empty());
     expect_that!(pool.ready("desk"), eq(1));
 }
 
@@ -177,12 +190,8 @@
     gateway.apply_full_read(all, Revision::default(), Revision::default(), now);
     gateway.apply_full_read(listed, restored(4), restored(2), now);
     expect_that!(gateway.freshness.may_lack_entries(millis(5_500)), eq(true));
-    gateway
-        .pool
-        .expire(gateway.freshness.may_lack_entries(millis(5_500)));
+    gateway.expire(millis(5_500));
     expect_that!(gateway.pool.ready("desk"), eq(before));
-    gateway
-        .pool
-        .expire(gateway.freshness.may_lack_entries(millis(5_700)));
+    gateway.expire(millis(5_700));
     expect_that!(gateway.pool.ready("desk"), eq(1));
 }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod quarantine;
 mod restore;
 mod route;
+mod settled;
 mod spread;
 mod support;
 mod upstream;
--- a/crates/gateway/tests/all/restore/mod.rs
+++ b/crates/gateway/tests/all/restore/mod.rs
@@ -13,16 +13,20 @@
 use auburnline_gateway::message::Heartbeat;
 use auburnline_gateway::route::Table;
 use auburnline_gateway::route::Version;
+use auburnline_gateway::settled;
 use auburnline_gateway::spread::Answer;
 use auburnline_gateway::spread::Query;
 use auburnline_gateway::spread::Revision;
 use auburnline_gateway::spread::Update;
+use auburnline_gateway::upstream::State;
+use auburnline_gateway::upstream::Upstream;
 use googletest::prelude::*;
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 
 use crate::support::configuration;
 use crate::support::millis;
+use crate::support::upstream;
 
 const STEP: Duration = Duration::from_millis(100);
 /// Steps between two heartbeats, and between two queries to the readers.
@@ -39,6 +43,8 @@
 /// Lost messages, in percent.
 const LOSS_PERCENT: u32 = 1;
 const DOMAINS: usize = 4;
+/// Time after the removal of an upstream's entry from which on no gateway may use it.
+const DRAIN: Duration = Duration::from_secs(2);
 /// Numbers of gateways for which each test runs.
 const FLEETS: [usize; 3] = [6, 98, 340];
 
@@ -48,6 +54,8 @@
 struct Store {
     generation: u64,
     history: Vec<Option<Version>>,
+    /// Number of the write by which the upstream's entry was removed.
+    removed: Option<usize>,
     is_down: bool,
 }
 
@@ -79,6 +87,18 @@
         self.history.extend(vec![None; times]);
     }
 
+    fn remove_upstream(&mut self) {
+        self.write_other(1);
+        self.removed = Some(self.history.len());
+    }
+
+    /// Returns the list of upstreams.
+    fn listed(&self) -> Vec<Upstream> {
+        let is_listed = self.removed.is_none();
+        let listed = is_listed.then(|| upstream("desk-0", "desk", State::Ready));
+        listed.into_iter().collect()
+    }
+
     /// Restores the state after the first `number` writes.
     fn restore(&mut self, number: usize) {
         self.generation += 1;
@@ -94,6 +114,8 @@
     Answer(Answer),
     ConfigurationQuery(Option<Version>),
     Configuration(Update),
+    SettledQuery(settled::Query),
+    SettledReply(settled::Reply),
 }
 
 struct Node {
@@ -118,6 +140,8 @@
     incarnations: u64,
     /// When each version was written.
     written: Vec<(Version, Duration)>,
+    /// When the upstream's entry was removed.
+    removed_at: Option<Duration>,
     violations: Vec<String>,
 }
 
@@ -209,6 +233,40 @@
     }
 }
 
+/// Guards against gateways that keep an upstream that left, because they lost the store alone, were
+/// suspended or restarted shortly before.
+#[gtest]
+fn an_upstream_that_left_gets_nothing_where_gateways_freeze_start_and_lose_the_store() {
+    for (count, seeds) in FLEETS.into_iter().zip([6, 3, 1]) {
+        for seed in 1..=seeds {
+            let mut world = World::start(count, seed);
+            world.run(Duration::from_secs(4));
+            for number in 0..count.div_ceil(4) {
+                let until = world.now + millis(world.rng.random_range(500..5_000));
+                let node = &mut world.nodes[number];
+                match number % 3 {
+                    0 => node.suspended_until = until,
+                    1 => node.disconnected_until = until,
+                    _ => node.isolated_until = until,
+                }
+            }
+            let wait = world.rng.random_range(3_000..6_500);
+            world.run(millis(wait));
+            world.store.remove_upstream();
+            world.removed_at = Some(world.now);
+            world.run(Duration::from_secs(5));
+            expect_that!(
+                world.violations,
+                is_empty(),
+                "{count} gateways, seed {seed}"
+            );
+            let users = world.nodes.iter();
+            let users = users.filter(|node| node.gateway.pool.ready("desk") > 0);
+            expect_that!(users.count(), eq(0), "{count} gateways, seed {seed}");
+        }
+    }
+}
+
 /// Guards against revoked keys that work again at gateways that start, resume or reconnect, because
 /// the store they read was restored from a backup that still contains the keys.
 #[gtest]
--- a/crates/gateway/tests/all/restore/world.rs
+++ b/crates/gateway/tests/all/restore/world.rs
@@ -15,6 +15,7 @@
 
 use super::BEAT_STEPS;
 use super::DOMAINS;
+use super::DRAIN;
 use super::IN_FORCE;
 use super::INBOX_CAPACITY;
 use super::LOSS_PERCENT;
@@ -33,6 +34,15 @@
 use crate::support::number;
 use crate::support::peers;
 
+fn apply_removals(gateway: &mut Gateway, changes: &[Change]) {
+    let as_of = gateway.spread.revision().unwrap_or_default();
+    for change in changes {
+        if let Change::Removed(id) = change {
+            gateway.pool.mark_missing(id, as_of);
+        }
+    }
+}
+
 impl World {
     pub(super) fn start(count: usize, seed: u64) -> World {
         let mut world = World {
@@ -42,6 +52,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             incarnations: 0,
             written: Vec::new(),
+            removed_at: None,
             violations: Vec::new(),
         };
         world.write(3);
@@ -149,12 +160,21 @@
             }
             Message::Answer(answer) => {
                 gateway.spread.note_generation(answer.until.generation);
-                let (_, known_at) = gateway.spread.apply_answer(answer);
+                let (new, known_at) = gateway.spread.apply_answer(answer);
+                apply_removals(gateway, &new);
                 if let Some(known_at) = known_at {
                     gateway.confirm(known_at, now);
                 }
                 None
             }
+            Message::SettledQuery(query) => {
+                Some(Message::SettledReply(gateway.reply_settled(query, now)))
+            }
+            Message::SettledReply(reply) => {
+                gateway.apply_settled(reply, peers(from));
+                gateway.expire(now);
+                None
+            }
             Message::ConfigurationQuery(version) => {
                 let update = gateway.spread.configuration_newer_than(version).cloned();
                 update.map(Message::Configuration)
@@ -182,8 +202,7 @@
             return;
         }
         if self.store.is_down || self.now < node.disconnected_until.max(node.isolated_until) {
-            gateway.roster.set_store_unreachable(true);
-            node.next_read = self.now + gateway.spread.record_failure(false);
+            node.next_read = self.now + gateway.record_store_failure(now).pause;
             return;
         }
         gateway.roster.set_store_unreachable(false);
@@ -193,7 +212,8 @@
         match need {
             Need::All => {
                 apply_configuration(gateway, version, written);
-                gateway.apply_full_read(Vec::new(), self.store.revision(), written, now);
+                let listed = self.store.listed();
+                gateway.apply_full_read(listed, self.store.revision(), written, now);
                 gateway.confirm(now, now);
             }
             Need::Configuration => {
@@ -212,13 +232,21 @@
                 if is_new {
                     apply_configuration(gateway, version, written);
                 }
-                let changes = is_new.then_some((written, Change::Configuration));
-                let changes = changes.into_iter().collect();
-                gateway.spread.take(changes, self.store.revision());
+                let mut changes: Vec<_> = is_new
+                    .then_some((written, Change::Configuration))
+                    .into_iter()
+                    .collect();
+                let removed = self.store.removed.map(|number| self.store.at(number));
+                let removed = removed.filter(|removed| *removed > after);
+                changes.extend(removed.map(|at| (at, Change::Removed("desk-0".into()))));
+                changes.sort_by_key(|(at, _)| *at);
+                let new = gateway.spread.take(changes, self.store.revision());
+                apply_removals(gateway, &new);
                 gateway.confirm(now, now);
             }
             Need::Nothing => {}
         }
+        gateway.expire(now);
     }
 
     fn send_messages(&mut self, number: usize) {
@@ -239,6 +267,11 @@
                     .into_iter()
                     .map(|to| (to, Message::Heartbeat(heartbeat.clone()))),
             );
+            node.gateway.expire(now);
+            if let Some((query, asked)) = node.gateway.ask_settled(now, &mut rng) {
+                let query = Message::SettledQuery(query);
+                messages.extend(asked.into_iter().map(|to| (to, query.clone())));
+            }
             if let Some(ahead) = node.gateway.catch_up(now) {
                 messages.push((ahead, Message::ConfigurationQuery(node.gateway.version())));
             }
@@ -275,6 +308,14 @@
                     "gateway {number} serves with version {version:?}, not {least:?}"
                 ));
             }
+            let removed_at = self.removed_at;
+            let is_late = removed_at.is_some_and(|at| self.now > at + DRAIN);
+            if is_healthy && is_late && node.gateway.pool.ready("desk") > 0 {
+                self.violations.push(format!(
+                    "gateway {number} uses an upstream that left at {removed_at:?}, at {:?}",
+                    self.now
+                ));
+            }
             let runs = self.now >= node.suspended_until;
             if runs && can_serve && version < revoked {
                 self.violations.push(format!(
--- a/crates/gateway/tests/all/upstream.rs
+++ b/crates/gateway/tests/all/upstream.rs
@@ -147,23 +147,23 @@
 #[gtest]
 fn entries_that_lapsed_while_the_store_was_away_may_come_back() {
     let mut pool = pool(2);
-    pool.mark_missing("u0");
-    assert_that!(pool.expire(true), is_empty());
+    pool.mark_missing("u0", revision(9));
+    assert_that!(pool.expire_until(None), is_empty());
     assert_that!(pool.ready("desk"), eq(2));
     pool.insert(upstream("u0", "desk", State::Ready));
-    assert_that!(pool.expire(false), is_empty());
-    pool.mark_missing("u1");
-    assert_that!(pool.expire(false), len(eq(1)));
+    assert_that!(pool.expire(), is_empty());
+    pool.mark_missing("u1", revision(9));
+    assert_that!(pool.expire(), len(eq(1)));
     assert_that!(pool.ready("desk"), eq(1));
 }
 
 #[gtest]
 fn a_whole_list_tells_what_is_missing() {
     let mut pool = pool(3);
-    let changes = pool.replace(vec![upstream("u1", "desk", State::Ready)]);
+    let changes = pool.replace(vec![upstream("u1", "desk", State::Ready)], revision(9));
     let missing = || matches_pattern!(Change::Missing(anything()));
     assert_that!(changes, elements_are![missing(), missing()]);
-    assert_that!(pool.expire(false), len(eq(2)));
+    assert_that!(pool.expire(), len(eq(2)));
 }
 
 /// All instances lose power and restart, and the list contains the entries of the old processes for
@@ -182,8 +182,8 @@
         assert_that!(pool.ready("desk"), eq(1));
         let chosen = choose(&pool, Preference::EvenLoad, &[], 0);
         assert_that!(chosen, some(eq("new")));
-        pool.mark_missing("old");
-        assert_that!(pool.expire(false), len(eq(1)));
+        pool.mark_missing("old", revision(9));
+        assert_that!(pool.expire(), len(eq(1)));
         assert_that!(pool.ready("desk"), eq(1));
     }
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -11,6 +11,7 @@
 use auburnline_gateway::neighbour::HEARTBEAT_PERIOD;
 use auburnline_gateway::neighbour::MAX_COUNTS;
 use auburnline_gateway::route::ServiceId;
+use auburnline_gateway::settled;
 use auburnline_gateway::spread::Query;
 use auburnline_lockstep::message::Digest;
 use auburnline_lockstep::message::Forwarded;
@@ -94,6 +95,7 @@
         present.for_each(|message| shared.send(message, target));
     }
     limit::lend(shared);
+    ask_settled(shared, now, rng);
     request_newer_configuration(shared, now);
     let is_awaiting = shared.gateway().spread.awaits_configuration();
     if is_awaiting || heartbeats.is_multiple_of(HEARTBEATS_PER_QUERY) {
@@ -101,6 +103,25 @@
     }
 }
 
+/// Asks other gateways whether missing upstreams are gone, if this one can't tell.
+fn ask_settled(shared: &Shared, now: Monotonic, rng: &mut SmallRng) {
+    let Some((query, asked)) = shared.gateway().ask_settled(now, rng) else {
+        return;
+    };
+    for gateway in asked {
+        shared.send(&Datagram::SettledQuery(query), gateway);
+    }
+}
+
+fn apply_settled(shared: &Shared, reply: settled::Reply, from: SocketAddr) {
+    let Some(until) = shared.gateway().apply_settled(reply, from) else {
+        return;
+    };
+    log::info!(target: "upstreams", until:?; "other gateways agree that missing upstreams are gone");
+    let changes = shared.expire();
+    shared.upstreams_changed(changes);
+}
+
 /// Requests a newer configuration from a gateway that has one in force, if the store or its readers are not expected to deliver
 /// it.
 fn request_newer_configuration(shared: &Shared, now: Monotonic) {
@@ -186,6 +207,11 @@
         Ok(Datagram::Loan(loan)) => limit::accept_loan(shared, &loan, from),
         Ok(Datagram::PermitRequest(request)) => limit::answer(shared, request, from),
         Ok(Datagram::PermitReply(reply)) => limit::deliver_reply(shared, reply),
+        Ok(Datagram::SettledQuery(query)) => {
+            let reply = shared.gateway().reply_settled(query, shared.now());
+            shared.send(&Datagram::SettledReply(reply), from);
+        }
+        Ok(Datagram::SettledReply(reply)) => apply_settled(shared, reply, from),
         Err(error) => {
             let cause = error.to_string();
             log::debug!(target: "neighbours", cause = cause.as_str(); "malformed message");
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -213,8 +213,7 @@
     pub(crate) fn expire(&self) -> Vec<upstream::Change> {
         let now = self.now();
         let mut gateway = self.gateway();
-        let may_lack_entries = gateway.freshness.may_lack_entries(now);
-        let mut changes = gateway.pool.expire(may_lack_entries);
+        let mut changes = gateway.expire(now);
         changes.extend(gateway.pool.take_trusted(now));
         changes
     }
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -26,8 +26,6 @@
 const NEED_POLL: Duration = Duration::from_millis(300);
 /// Interval at which a gateway that the store does not answer tries again, while others read for it.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
-/// Age of the known state up to which a failed call does not count as a loss of the store: others read for this gateway.
-const MAX_RELAYED_AGE: Duration = Duration::from_millis(2_500);
 
 /// Reader of the state that a platform publishes.
 pub trait Source {
@@ -223,21 +221,14 @@
         metrics::counter!("auburnline_store_failures_total").increment(1);
         let now = self.now();
         let mut gateway = self.0.gateway();
-        let was_unreachable = gateway.roster.is_store_unreachable();
-        gateway.roster.set_store_unreachable(true);
-        let age = gateway.freshness.age(now);
-        let is_told = age.is_some_and(|age| age < MAX_RELAYED_AGE);
-        if !is_told {
-            gateway.freshness.record_failure();
-        }
-        let (_, is_reader) = gateway.roster.readers(now);
-        let pause = gateway.spread.record_failure(is_reader);
+        let failure = gateway.record_store_failure(now);
         drop(gateway);
-        if !was_unreachable {
-            let age_ms = millis(age.unwrap_or_default());
+        if failure.is_first {
+            let age_ms = millis(failure.age.unwrap_or_default());
+            let is_told = failure.is_relayed;
             log::warn!(target: "store", cause, age_ms, is_told; "lost");
         }
-        pause
+        failure.pause
     }
 
     /// Puts a configuration in force if its version is newer, and keeps it for gateways that request it.
@@ -261,12 +252,15 @@
     fn apply(&self, changes: Vec<spread::Change>) {
         let mut pool_changes = Vec::new();
         let mut gateway = self.0.gateway();
+        let as_of = gateway.spread.revision().unwrap_or_default();
         for change in changes {
             match change {
                 spread::Change::Upstream(upstream) => {
                     pool_changes.extend(gateway.pool.insert(upstream));
                 }
-                spread::Change::Removed(id) => pool_changes.extend(gateway.pool.mark_missing(&id)),
+                spread::Change::Removed(id) => {
+                    pool_changes.extend(gateway.pool.mark_missing(&id, as_of));
+                }
                 spread::Change::Configuration => {}
             }
         }
