Gateways notice sooner that the store is back

Cause: the time in which lapsed entries may be written again, 2.6 s, counts from when a gateway notices that the store answers. A request that the store does not answer was given up only after 2.65 s (the time to connect came on top of the time for a response, and it waited for changes like any other), so the return was noticed 2.8 s late, and later still where another gateway was ahead.

What another gateway knew before the loss no longer counts as an answer of the store.

--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -24,8 +24,8 @@
 pub struct Freshness {
     max_age: Duration,
     current_at: Option<Monotonic>,
-    /// Whether the last request to the store failed.
-    is_failing: bool,
+    /// When the store was lost; `None` while it answers.
+    lost_at: Option<Monotonic>,
     recovered_at: Option<Monotonic>,
     /// Since when the store has been followed without a gap.
     followed_since: Option<Monotonic>,
@@ -49,7 +49,7 @@
         Freshness {
             max_age: revocation.saturating_sub(REVOCATION_MARGIN),
             current_at: None,
-            is_failing: false,
+            lost_at: None,
             recovered_at: None,
             followed_since: None,
         }
@@ -60,24 +60,31 @@
         self.max_age = revocation.saturating_sub(REVOCATION_MARGIN);
     }
 
-    /// Records an answer to a request that was sent at `asked`.
+    /// Records that the state is known as of `asked`, when a request was sent that the store
+    /// answered.
     pub fn record_success(&mut self, asked: Monotonic, now: Monotonic) -> Change {
         self.current_at = self.current_at.max(Some(asked));
         self.followed_since.get_or_insert(now);
-        if !self.is_failing {
+        self.record_answer(asked, now)
+    }
+
+    /// Records that the store answered a request that was sent at `asked`, to this gateway or to
+    /// another one. An answer from before the loss doesn't show that the store is back.
+    pub fn record_answer(&mut self, asked: Monotonic, now: Monotonic) -> Change {
+        if self.lost_at.is_none_or(|lost_at| asked < lost_at) {
             return Change::None;
         }
-        self.is_failing = false;
+        self.lost_at = None;
         self.record_recovery(now);
         Change::Regained
     }
 
-    /// Records that a request to the store failed.
-    pub const fn record_failure(&mut self) -> Change {
-        if self.is_failing {
+    /// Records that a request to the store failed at `now`.
+    pub const fn record_failure(&mut self, now: Monotonic) -> Change {
+        if self.lost_at.is_some() {
             return Change::None;
         }
-        self.is_failing = true;
+        self.lost_at = Some(now);
         Change::Lost
     }
 
@@ -114,13 +121,13 @@
     #[must_use]
     pub fn may_lack_entries(&self, now: Monotonic) -> bool {
         let just_recovered = |at| now.saturating_sub(at) < RECOVERY_GRACE;
-        self.is_failing || self.recovered_at.is_some_and(just_recovered)
+        self.lost_at.is_some() || self.recovered_at.is_some_and(just_recovered)
     }
 
     /// Returns whether the store has been followed for long enough that live upstreams have entries.
     #[must_use]
     pub fn is_settled(&self, now: Monotonic) -> bool {
         let followed_long = |since| now.saturating_sub(since) >= RECOVERY_GRACE;
-        !self.is_failing && self.followed_since.is_some_and(followed_long)
+        self.lost_at.is_none() && self.followed_since.is_some_and(followed_long)
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -250,7 +250,7 @@
         let age = self.freshness.age(now);
         let is_relayed = age.is_some_and(|age| age < MAX_RELAYED_AGE);
         if !is_relayed {
-            self.freshness.record_failure();
+            self.freshness.record_failure(now);
         }
         let (_, is_reader) = self.roster.readers(now);
         StoreFailure {
--- a/crates/gateway/src/version.rs
+++ b/crates/gateway/src/version.rs
@@ -100,7 +100,7 @@
     }
 
     /// Records that the state of the store is known as of `known_at`. It takes effect once no other
-    /// gateway is ahead.
+    /// gateway is ahead; that the store answers counts at once.
     pub fn confirm(&mut self, known_at: Monotonic, now: Monotonic) -> freshness::Change {
         let before = self.lag.known_at;
         // Messages received before a gap, or queued in the socket during it, don't show which
@@ -112,19 +112,21 @@
         }
         self.lag.known_at = before.max(Some(known_at));
         self.lag.unconfirmed = self.lag.unconfirmed.max(Some(known_at));
-        self.confirm_pending(now)
+        let change = self.freshness.record_answer(known_at, now);
+        self.confirm_pending(now);
+        change
     }
 
     /// Confirms the recorded knowledge once it no longer has to wait for other gateways.
-    pub fn confirm_pending(&mut self, now: Monotonic) -> freshness::Change {
+    pub fn confirm_pending(&mut self, now: Monotonic) {
         let Some(known_at) = self.lag.unconfirmed else {
-            return freshness::Change::None;
+            return;
         };
         if !self.has_heard_peers(now) || self.ahead(now).is_some() {
-            return freshness::Change::None;
+            return;
         }
         self.lag.unconfirmed = None;
-        self.freshness.record_success(known_at, now)
+        self.freshness.record_success(known_at, now);
     }
 
     /// Returns whether another gateway has reported its version, or the time to wait for that has
--- a/crates/gateway/tests/all/freshness.rs
+++ b/crates/gateway/tests/all/freshness.rs
@@ -37,8 +37,8 @@
     let mut freshness = Freshness::new(millis(5_000));
     let _ = freshness.record_success(millis(900), millis(1_000));
     assert_that!(freshness.may_lack_entries(millis(1_000)), eq(false));
-    assert_that!(freshness.record_failure(), eq(Change::Lost));
-    assert_that!(freshness.record_failure(), eq(Change::None));
+    assert_that!(freshness.record_failure(millis(1_500)), eq(Change::Lost));
+    assert_that!(freshness.record_failure(millis(1_900)), eq(Change::None));
     assert_that!(freshness.may_lack_entries(millis(2_000)), eq(true));
     assert_that!(
         freshness.record_success(millis(4_000), millis(4_000)),
@@ -47,3 +47,18 @@
     assert_that!(freshness.may_lack_entries(millis(6_500)), eq(true));
     assert_that!(freshness.may_lack_entries(millis(6_700)), eq(false));
 }
+
+/// Guards against taking the store for available because another gateway passes on what it knew
+/// before the loss.
+#[gtest]
+fn an_answer_from_before_the_loss_does_not_show_that_the_store_is_back() {
+    let mut freshness = Freshness::new(millis(5_000));
+    let _ = freshness.record_success(millis(900), millis(1_000));
+    freshness.record_failure(millis(3_000));
+    let relayed = freshness.record_success(millis(2_900), millis(3_200));
+    assert_that!(relayed, eq(Change::None));
+    assert_that!(freshness.age(millis(3_200)), some(eq(millis(300))));
+    assert_that!(freshness.may_lack_entries(millis(9_000)), eq(true));
+    let answered = freshness.record_answer(millis(9_000), millis(9_010));
+    assert_that!(answered, eq(Change::Regained));
+}
--- a/crates/gateway/tests/all/settled.rs
+++ b/crates/gateway/tests/all/settled.rs
@@ -46,7 +46,7 @@
 /// Returns a gateway that lost the store and then learned that the upstream was removed.
 fn doubting() -> Gateway {
     let mut gateway = following();
-    gateway.freshness.record_failure();
+    gateway.freshness.record_failure(millis(SETTLED_MS));
     gateway.pool.mark_missing("u", revision(12));
     expect_that!(gateway.expire(millis(SETTLED_MS)), is_empty());
     gateway
@@ -133,7 +133,7 @@
     expect_that!(settled(&gateway, millis(2_600)), some(eq(revision(10))));
 
     let mut lost = following();
-    lost.freshness.record_failure();
+    lost.freshness.record_failure(millis(SETTLED_MS));
     expect_that!(settled(&lost, millis(SETTLED_MS)), none());
     let _ = lost.freshness.record_success(millis(9_500), millis(9_500));
     expect_that!(settled(&lost, millis(12_099)), none());
--- a/crates/gateway/tests/all/version.rs
+++ b/crates/gateway/tests/all/version.rs
@@ -219,3 +219,19 @@
     let asked = (20..620).filter(|now| gateway.catch_up(millis(*now)).is_some());
     expect_that!(asked.collect::<Vec<_>>(), eq(&vec![20, 320]));
 }
+
+/// Guards against counting the time in which entries may be written again from when another gateway
+/// confirmed the configuration, in place of from when the store answered.
+#[gtest]
+fn a_store_that_answers_is_back_though_another_gateway_is_ahead() {
+    let mut gateway = gateway(&[peers(2)]);
+    gateway.set_table(table(15));
+    receive(&mut gateway, 2, 1, Some(15), 10);
+    gateway.confirm(millis(10), millis(20));
+    gateway.freshness.record_failure(millis(1_000));
+    receive(&mut gateway, 2, 2, Some(20), 1_100);
+    gateway.confirm(millis(1_200), millis(1_210));
+    gateway.confirm_pending(millis(3_000));
+    expect_that!(gateway.freshness.may_lack_entries(millis(3_809)), eq(true));
+    expect_that!(gateway.freshness.may_lack_entries(millis(3_810)), eq(false));
+}
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -11,7 +11,6 @@
 
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::Gateway;
-use auburnline_gateway::freshness;
 use auburnline_gateway::message::Datagram;
 use auburnline_gateway::route::ServiceId;
 use auburnline_gateway::spread::Query;
@@ -222,10 +221,7 @@
     pub(crate) fn update_readiness(&self) {
         let now = self.now();
         let mut gateway = self.gateway();
-        let change = gateway.confirm_pending(now);
-        if change == freshness::Change::Regained {
-            log_regained(&gateway, now);
-        }
+        gateway.confirm_pending(now);
         let is_ready = gateway.can_serve(now) && !self.is_leaving();
         if gateway.roster.set_ready(is_ready) {
             let age = gateway.freshness.age(now).unwrap_or_default();
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Returns whether the last request to the store failed. Then the next one should be answered at
+    /// once, since one that waits for changes would take long to fail again.
+    #[must_use]
+    pub fn is_failing(&self) -> bool {
+        self.0.gateway().roster.is_store_unreachable()
+    }
+
     /// Applies a snapshot that was requested at `asked`.
     pub fn apply_snapshot(&self, snapshot: Snapshot, asked: Monotonic) {
         let written = snapshot
