configuration: bound the backoff of a process whose calls fail for minutes

What users saw: nothing yet; read in the code. A process of the own interface whose calls to the configuration service fail dies after two minutes.

Cause: the power of two was multiplied before it was bounded, so the 67th unproductive call in a row made a duration that does not exist, and the thread panicked. Now the factor saturates.

--- a/crates/configuration/src/schedule.rs
+++ b/crates/configuration/src/schedule.rs
@@ -252,9 +252,10 @@
     fn back_off(&self) -> Duration {
         match self.unproductive_calls {
             0 => MIN_GAP,
-            tries => BACKOFF_BASE
-                .mul_f64(f64::from(tries).exp2())
-                .min(MAX_BACKOFF),
+            tries => {
+                let factor = 2_u32.saturating_pow(tries);
+                BACKOFF_BASE.saturating_mul(factor).min(MAX_BACKOFF)
+            }
         }
     }
 
--- a/crates/configuration/tests/all/main.rs
+++ b/crates/configuration/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod check;
 mod lookup;
 mod parcel;
+mod schedule;
 mod spread;
 mod support;
