--- a/crates/gateway/src/settled.rs
+++ b/crates/gateway/src/settled.rs
@@ -109,10 +109,16 @@
     /// Removes the upstreams that are missing from the list and gone: all of them, or while entries
     /// may have lapsed those on which other gateways agree.
     pub fn expire(&mut self, now: Monotonic) -> Vec<Change> {
-        if self.freshness.may_lack_entries(now) {
+        let may_lack_entries = self.freshness.may_lack_entries(now);
+        let removed = if may_lack_entries {
             self.pool.expire_until(self.agreement.until)
         } else {
             self.pool.expire()
-        }
+        };
+        debug_assert!(
+            may_lack_entries || !self.pool.has_missing_after(None),
+            "upstream kept although it is missing and its entry did not lapse"
+        );
+        removed
     }
 }
