A gateway whose queries no reader answers reads the store itself after 0.7 s

What callers could see: where all readers of a failure domain die or freeze just before an upstream leaves, the other gateways of the domain send to it for up to 2.4 s (fleets of 98 without network; bound 2 s). They waited until the readers counted as failed, 1.6 s, or their own knowledge was 2.8 s old, each below the bound and not in sum. A reader that had read all anew could not answer for earlier revisions either, so that a gateway waited in vain for one that lives.

An unanswered query and its repetition tell both within 0.7 s. In an outage of the store readers still answer, so no more gateways call it then.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -236,11 +236,14 @@
         self.table.is_some() && self.freshness.is_fresh(now)
     }
 
-    /// Returns what this gateway has to read from the store now.
+    /// Returns what this gateway has to read from the store now: as a reader, or if no reader keeps
+    /// it informed.
     pub fn need(&mut self, now: Monotonic) -> Need {
         let (_, is_reader) = self.roster.readers(now);
         let is_alone = spread::must_read_itself(self.freshness.age(now));
-        self.spread.need(is_reader || is_alone, now)
+        let is_unanswered = self.spread.is_unanswered(now);
+        self.spread
+            .need(is_reader || is_alone || is_unanswered, now)
     }
 
     /// Records that a request to the store failed.
@@ -253,11 +256,12 @@
             self.freshness.record_failure(now);
         }
         let (_, is_reader) = self.roster.readers(now);
+        let is_unanswered = self.spread.is_unanswered(now);
         StoreFailure {
             is_first,
             is_relayed,
             age,
-            pause: self.spread.record_failure(is_reader),
+            pause: self.spread.record_failure(is_reader || is_unanswered),
         }
     }
 
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -46,6 +46,10 @@
 /// periods of a watch plus a query, and well before API keys stop being trusted.
 const SELF_READ_AGE: Duration = Duration::from_millis(2_800);
 
+/// Time without an answer from any reader after which a gateway reads the store itself: longer than
+/// it takes until a query is repeated.
+const UNANSWERED_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Time that a gateway waits for a reader to send an announced configuration, which allows two or
 /// three queries. Then it reads the configuration itself, well within the bound on putting
 /// configurations in force.
@@ -141,6 +145,8 @@
     failures: u32,
     /// Number of the last query and the time it was sent.
     asked: Option<(u64, Monotonic)>,
+    /// Since when queries have been sent and no reader has answered.
+    unanswered_since: Option<Monotonic>,
     number: u64,
 }
 
@@ -249,6 +255,14 @@
     /// Records that the store answered.
     pub const fn record_success(&mut self) {
         self.failures = 0;
+        self.unanswered_since = None;
+    }
+
+    /// Returns whether no reader answers, so that this gateway has to read the store itself.
+    #[must_use]
+    pub fn is_unanswered(&self, now: Monotonic) -> bool {
+        let is_over = |since| now.saturating_sub(since) >= UNANSWERED_TIMEOUT;
+        self.unanswered_since.is_some_and(is_over)
     }
 
     /// Records that the store did not answer; returns the delay before the next attempt. It grows
@@ -317,6 +331,7 @@
         let revision = self.revision?;
         self.number += 1;
         self.asked = Some((self.number, now));
+        self.unanswered_since.get_or_insert(now);
         Some(Query {
             number: self.number,
             revision,
@@ -380,13 +395,16 @@
             // reader is behind.
             return (Vec::new(), None);
         }
+        let asked = self
+            .asked
+            .filter(|(number, _)| Some(*number) == answer.number);
+        if asked.is_some() {
+            self.unanswered_since = None;
+        }
         let until = answer.until;
         let new = self.take(answer.changes, until);
         // A reader that knows less than this gateway confirms nothing.
         let is_complete = until >= known && self.heard <= self.read;
-        let asked = self
-            .asked
-            .filter(|(number, _)| Some(*number) == answer.number);
         let asked = asked.map(|(_, at)| at.saturating_sub(answer.age));
         (new, asked.filter(|_| is_complete))
     }
--- a/crates/gateway/tests/all/restore/mod.rs
+++ b/crates/gateway/tests/all/restore/mod.rs
@@ -267,6 +267,36 @@
     }
 }
 
+/// Guards against gateways that learn late of a departure because all readers of their failure
+/// domain died just before it.
+#[gtest]
+fn an_upstream_that_left_gets_nothing_though_the_readers_of_a_domain_died_before() {
+    for (count, seeds) in FLEETS.into_iter().zip([6, 3, 1]) {
+        for seed in 1..=seeds {
+            let mut world = World::start(count, seed);
+            world.run(Duration::from_secs(4));
+            let wait = world.rng.random_range(0..600);
+            world.run(millis(wait));
+            for number in 0..count {
+                let now = world.now.saturating_sub(world.nodes[number].started);
+                let (_, is_reader) = world.nodes[number].gateway.roster.readers(now);
+                if is_reader && number % DOMAINS == 0 {
+                    world.nodes[number].suspended_until = world.now + Duration::from_secs(9);
+                }
+            }
+            world.run(millis(200));
+            world.store.remove_upstream();
+            world.removed_at = Some(world.now);
+            world.run(Duration::from_secs(3));
+            expect_that!(
+                world.violations,
+                is_empty(),
+                "{count} gateways, seed {seed}"
+            );
+        }
+    }
+}
+
 /// Guards against revoked keys that work again at gateways that start, resume or reconnect, because
 /// the store they read was restored from a backup that still contains the keys.
 #[gtest]
--- a/crates/gateway/tests/all/spread.rs
+++ b/crates/gateway/tests/all/spread.rs
@@ -292,3 +292,21 @@
         eq(FullRead::Restored)
     );
 }
+
+/// Guards against a gateway that waits for readers which died, or which no longer keep the changes
+/// since the revision it knows.
+#[gtest]
+fn a_gateway_whose_queries_get_no_answer_reads_the_store_itself() {
+    let (reader, mut asker) = (spread(), spread());
+    let first = asker.query(millis(1_000)).expect("a query");
+    expect_that!(asker.is_unanswered(millis(1_699)), eq(false));
+    asker.query(millis(1_600)).expect("a query");
+    expect_that!(asker.is_unanswered(millis(1_700)), eq(true));
+    let late = reader.answer(first, millis(0)).expect("an answer");
+    asker.apply_answer(late);
+    expect_that!(asker.is_unanswered(millis(1_700)), eq(true));
+    let query = asker.query(millis(2_200)).expect("a query");
+    let answer = reader.answer(query, millis(0)).expect("an answer");
+    asker.apply_answer(answer);
+    expect_that!(asker.is_unanswered(millis(9_000)), eq(false));
+}
