Keep an upstream's rate limit while its entry is removed and written again

What upstreams saw: six requests within 40 ms where 1.5 a second are allowed, right after their entry was written again.

Cause: limits of upstreams that are not on the list were dropped at the next heartbeat, though an entry may lapse or be removed while the upstream runs, and is written again with the same start. Backoffs outlive the entry; limits did not.

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -195,7 +195,7 @@
     }
 
     /// Records that a heartbeat is sent; returns the notices of limits to send with it, and drops
-    /// limits of upstreams that are gone.
+    /// limits of upstreams that have been gone for some time.
     pub fn heartbeat_limits(&mut self, now: Monotonic) -> Vec<Notice> {
         self.limits
             .home
--- a/crates/gateway/tests/all/limit.rs
+++ b/crates/gateway/tests/all/limit.rs
@@ -30,6 +30,7 @@
 use crate::support::entry;
 use crate::support::heartbeat;
 use crate::support::millis;
+use crate::support::revision;
 use crate::support::table;
 use crate::support::upstream;
 
@@ -357,3 +358,21 @@
     expect_that!(lent(&mut gateway, 1_999), is_empty());
     expect_that!(lent(&mut gateway, 2_000), len(eq(1)));
 }
+
+/// Guards against a limit that is lost because the upstream's entry was removed and written again.
+#[gtest]
+fn a_limit_outlives_the_entry_and_ends_with_the_start_of_the_upstream() {
+    let mut gateway = gateway();
+    let before = find(&gateway, "desk-0");
+    gateway.record_limit(&before, Some(1.5), millis(2_190), millis(2_200));
+    gateway.pool.mark_missing("desk-0", revision(9));
+    gateway.pool.expire();
+    tick(&mut gateway, 2_400);
+    gateway.pool.insert(Upstream::clone(&before));
+    expect_that!(gateway.limit(&before, millis(2_410)), some(anything()));
+    let again = Upstream {
+        born: Some(9),
+        ..Upstream::clone(&before)
+    };
+    expect_that!(gateway.limit(&again, millis(2_410)), none());
+}
--- a/crates/quota/src/registry.rs
+++ b/crates/quota/src/registry.rs
@@ -3,7 +3,7 @@
 //! A limit applies to one process start of an upstream, from a response that carries the limit until a response that does
 //! not. Responses may be reordered, so a response ends a limit only if its request was sent after the limit was last seen.
 //! Gateways exchange limits together with their age, and the most recent statement wins. An ended limit is kept for
-//! [`ENDED_RETENTION`], so that an older notice does not reinstate it.
+//! [`RETENTION`], so that an older notice does not reinstate it.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,8 +16,9 @@
 use crate::Rate;
 use crate::UpstreamTag;
 
-/// Time for which an ended limit is kept: much longer than a notice takes to reach all gateways.
-pub const ENDED_RETENTION: Duration = Duration::from_mins(1);
+/// Time for which a limit is kept once it ended or its upstream is gone: much longer than a notice
+/// takes to reach all gateways.
+pub const RETENTION: Duration = Duration::from_mins(1);
 /// Maximum number of notices in one message, so that it fits into one packet.
 pub const MAX_NOTICES: usize = 56;
 /// Maximum number of limits that are stored, including ended ones.
@@ -172,12 +173,13 @@
         notices
     }
 
-    /// Drops limits of upstreams that are gone, and those that ended more than [`ENDED_RETENTION`] ago.
+    /// Drops limits that ended, or whose upstream is gone, if they were last stated more than
+    /// [`RETENTION`] ago. The entry of an upstream may be removed and written again while it runs.
     pub fn forget(&mut self, is_known: impl Fn(UpstreamTag) -> bool, now: Monotonic) {
         let now = since_epoch(now);
         self.entries.retain(|upstream, entry| {
-            let is_recent = now.saturating_sub(entry.stated_at) < ENDED_RETENTION;
-            is_known(*upstream) && (entry.rate.is_some() || is_recent)
+            let is_recent = now.saturating_sub(entry.stated_at) < RETENTION;
+            is_recent || (is_known(*upstream) && entry.rate.is_some())
         });
     }
 
