Read as a newcomer: one sample of live gateways, and the wait of a poll decided outside the adapter

The heartbeat's targets and the gateways asked about missing upstreams were drawn by the same lines.

--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -363,9 +363,7 @@
 
     /// Returns the addresses to send the next heartbeat to.
     pub fn targets(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<SocketAddr> {
-        let live = self.others.values().filter(|known| known.is_alive(now));
-        let addresses = live.map(|known| known.entry.peers);
-        let mut targets = addresses.choose_multiple(rng, FANOUT);
+        let mut targets = self.sample(FANOUT, now, rng);
         let is_isolated = targets.len() < FANOUT / 2;
         if is_isolated || self.own_entry.heartbeats.is_multiple_of(SEED_HEARTBEATS) {
             targets.extend(
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -83,11 +83,15 @@
         }
     }
 
-    /// Returns whether the last request to the store failed. Then the next one should be answered at
-    /// once, since one that waits for changes would take long to fail again.
+    /// Returns how long the next request may wait for changes, at most `longest`. After a failure it
+    /// does not wait, since it would take long to fail again.
     #[must_use]
-    pub fn is_failing(&self) -> bool {
-        self.0.gateway().roster.is_store_unreachable()
+    pub fn poll_wait(&self, longest: Duration) -> Duration {
+        if self.0.gateway().roster.is_store_unreachable() {
+            Duration::ZERO
+        } else {
+            longest
+        }
     }
 
     /// Applies a snapshot that was requested at `asked`.
