Evacuate failure domains that operators name in the store

A full read lists op/ in place of one key, so it costs no further call. Changes spread as those of upstreams do. Evacuated ranks stay in their groups and get no new requests. Ruled out: leaving ranks out of the members that sidecars hear, which dissolves the group.

--- /dev/null
+++ b/crates/gateway/src/evacuation.rs
@@ -0,0 +1,157 @@
+//! Failure domains that operators evacuate.
+//!
+//! No new request is sent to the upstreams of an evacuated failure domain: no first send, no retry
+//! and no resumed stream. Streams that run there go on to their ends, and its ranks stay in their
+//! groups, because a lock-step group that loses ranks stops serving until it has formed again.
+//!
+//! An evacuation is in force from the revision of the store at which it was written until a later
+//! one at which it was removed. A store that was restored from a backup may lack either write.
+//! Revision numbers continue from the backup, so they tell what it lacks: an evacuation written
+//! after the backup stays in force, and one removed after it does not come back.
+
+use std::collections::BTreeMap;
+
+use auburnline_core::id::FailureDomainId;
+use auburnline_core::time::Monotonic;
+
+use crate::spread::Revision;
+
+/// Most failure domains that are remembered; a domain beyond that is evacuated, but its end is not
+/// remembered.
+const MAX_REMEMBERED: usize = 1_024;
+
+/// Last write about a failure domain.
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    written: Revision,
+    is_evacuated: bool,
+    /// When this gateway learned of it.
+    learned: Monotonic,
+}
+
+/// Change of a failure domain, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Whether it is evacuated now.
+    pub is_evacuated: bool,
+}
+
+/// All failure domains that are or were evacuated.
+#[derive(Clone, Debug, Default)]
+pub struct Evacuations {
+    records: BTreeMap<FailureDomainId, Record>,
+    /// Number of evacuated failure domains.
+    evacuated: usize,
+}
+
+impl Evacuations {
+    /// Returns whether a failure domain is evacuated.
+    #[must_use]
+    pub fn contains(&self, failure_domain: &str) -> bool {
+        if self.evacuated == 0 {
+            return false;
+        }
+        let record = self.records.get(failure_domain);
+        record.is_some_and(|record| record.is_evacuated)
+    }
+
+    /// Returns the evacuated failure domains and when this gateway learned of each evacuation.
+    pub fn iter(&self) -> impl Iterator<Item = (&FailureDomainId, Monotonic)> {
+        let evacuated = self.records.iter();
+        let evacuated = evacuated.filter(|(_, record)| record.is_evacuated);
+        evacuated.map(|(domain, record)| (domain, record.learned))
+    }
+
+    /// Records that the evacuation of a failure domain was written or removed at a revision.
+    pub fn record(
+        &mut self,
+        failure_domain: FailureDomainId,
+        is_evacuated: bool,
+        written: Revision,
+        now: Monotonic,
+    ) -> Option<Change> {
+        let known = self.records.get(&failure_domain);
+        if known.is_some_and(|known| known.written > written) {
+            return None;
+        }
+        let was_evacuated = known.is_some_and(|known| known.is_evacuated);
+        let learned = known.filter(|_| was_evacuated && is_evacuated);
+        let record = Record {
+            written,
+            is_evacuated,
+            learned: learned.map_or(now, |known| known.learned),
+        };
+        self.records.insert(failure_domain.clone(), record);
+        if was_evacuated == is_evacuated {
+            return None;
+        }
+        if is_evacuated {
+            self.evacuated += 1;
+        } else {
+            self.evacuated -= 1;
+            self.forget_ended();
+        }
+        Some(Change {
+            failure_domain,
+            is_evacuated,
+        })
+    }
+
+    /// Applies the list of all evacuations as of a revision, each with the revision at which it was
+    /// written.
+    pub fn replace(
+        &mut self,
+        listed: Vec<(FailureDomainId, Revision)>,
+        as_of: Revision,
+        now: Monotonic,
+    ) -> Vec<Change> {
+        let unlisted = self.records.iter().filter(|(domain, record)| {
+            record.is_evacuated && !listed.iter().any(|(listed, _)| listed == *domain)
+        });
+        let unlisted: Vec<_> = unlisted.map(|(domain, _)| domain.clone()).collect();
+        let mut changes = Vec::new();
+        for domain in unlisted {
+            changes.extend(self.record(domain, false, as_of, now));
+        }
+        for (domain, written) in listed {
+            changes.extend(self.record(domain, true, written, now));
+        }
+        changes
+    }
+
+    /// Applies the first list of a restored store as of a revision. A write that the backup lacks
+    /// stays in force until the restored store has a later one.
+    pub fn restore(
+        &mut self,
+        listed: Vec<(FailureDomainId, Revision)>,
+        as_of: Revision,
+        now: Monotonic,
+    ) -> Vec<Change> {
+        let kept = self.records.iter();
+        let kept = kept.filter(|(_, record)| record.written.number > as_of.number);
+        let kept: BTreeMap<_, _> = kept
+            .map(|(domain, record)| (domain.clone(), *record))
+            .collect();
+        let is_current = |domain: &FailureDomainId| !kept.contains_key(domain);
+        let listed = listed.into_iter().filter(|(domain, _)| is_current(domain));
+        let evacuated = kept.iter().filter(|(_, record)| record.is_evacuated);
+        let evacuated = evacuated.map(|(domain, record)| (domain.clone(), record.written));
+        let listed = listed.chain(evacuated).collect();
+        self.replace(listed, as_of, now)
+    }
+
+    /// Drops the oldest ends of evacuations beyond [`MAX_REMEMBERED`].
+    fn forget_ended(&mut self) {
+        while self.records.len() > MAX_REMEMBERED {
+            let ended = self.records.iter();
+            let ended = ended.filter(|(_, record)| !record.is_evacuated);
+            let oldest = ended.min_by_key(|(_, record)| record.written);
+            let Some(oldest) = oldest.map(|(domain, _)| domain.clone()) else {
+                return;
+            };
+            self.records.remove(&oldest);
+        }
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 
 use crate::allowance::Allowance;
 use crate::backoff::Backoffs;
+use crate::evacuation;
 use crate::freshness::Freshness;
 use crate::group::Groups;
 use crate::limit::Limits;
@@ -82,6 +83,15 @@
     pub heartbeat: Duration,
 }
 
+/// Lists of a full read of the store.
+#[derive(Clone, Debug, Default)]
+pub struct Listed {
+    /// All upstreams whose entries can be decoded.
+    pub upstreams: Vec<Upstream>,
+    /// All evacuated failure domains, with the revisions at which this was written.
+    pub evacuations: Vec<(FailureDomainId, Revision)>,
+}
+
 /// What a group leader's digest changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Update {
@@ -188,22 +198,60 @@
     }
 
     /// Applies a full read of the store as of `revision`, whose configuration was written at
-    /// `configuration`; returns what changed in the pool.
+    /// `configuration`; returns what changed.
     pub fn apply_full_read(
         &mut self,
-        upstreams: Vec<Upstream>,
+        listed: Listed,
         revision: Revision,
         configuration: Revision,
         now: Monotonic,
-    ) -> Vec<Change> {
+    ) -> (Vec<Change>, Vec<evacuation::Change>) {
+        let Listed {
+            upstreams,
+            evacuations,
+        } = listed;
         match self.spread.record_full_read(revision, configuration) {
-            FullRead::Complete => self.pool.replace(upstreams, revision),
+            FullRead::Complete => (
+                self.pool.replace(upstreams, revision),
+                self.pool.evacuations.replace(evacuations, revision, now),
+            ),
             FullRead::Restored => {
                 self.freshness.record_restore(now);
                 let until = now + self.bounds.heartbeat * EXPIRY_HEARTBEATS;
-                self.pool.restore(upstreams, revision, until)
+                (
+                    self.pool.restore(upstreams, revision, until),
+                    self.pool.evacuations.restore(evacuations, revision, now),
+                )
+            }
+        }
+    }
+
+    /// Applies changes of the published state that are complete up to the known revision; returns
+    /// what changed.
+    pub fn apply_changes(
+        &mut self,
+        changes: Vec<spread::Change>,
+        now: Monotonic,
+    ) -> (Vec<Change>, Vec<evacuation::Change>) {
+        let as_of = self.spread.revision().unwrap_or_default();
+        let mut upstreams = Vec::new();
+        let mut evacuations = Vec::new();
+        for change in changes {
+            match change {
+                spread::Change::Upstream(upstream) => upstreams.extend(self.pool.insert(upstream)),
+                spread::Change::Removed(id) => {
+                    upstreams.extend(self.pool.mark_missing(&id, as_of));
+                }
+                spread::Change::Configuration => {}
+                spread::Change::Evacuated(domain) => {
+                    evacuations.extend(self.pool.evacuations.record(domain, true, as_of, now));
+                }
+                spread::Change::Returned(domain) => {
+                    evacuations.extend(self.pool.evacuations.record(domain, false, as_of, now));
+                }
             }
         }
+        (upstreams, evacuations)
     }
 
     /// Returns the version of the configuration in force.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`route`]: which route and service apply to a request, by the configuration in force
 //! - [`upstream`]: the pool of upstreams that accept work
 //! - `departure`: which upstreams are leaving or have left
+//! - [`evacuation`]: which failure domains get no new requests
 //! - [`choice`]: which upstream a request is sent to
 //! - [`group`]: which upstreams run in lock-step
 //! - [`pace`]: how many streams a group can serve in time
@@ -32,6 +33,7 @@
 mod caution;
 pub mod choice;
 mod departure;
+pub mod evacuation;
 pub mod event;
 pub mod freshness;
 pub mod gateway;
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use auburnline_core::hash::rendezvous;
+use auburnline_core::id::FailureDomainId;
 use auburnline_core::time::Monotonic;
 use serde::Deserialize;
 use serde::Serialize;
@@ -70,6 +71,10 @@
     Removed(UpstreamId),
     /// A configuration was written; its content is requested separately.
     Configuration,
+    /// The evacuation of a failure domain was written.
+    Evacuated(FailureDomainId),
+    /// The evacuation of a failure domain was removed.
+    Returned(FailureDomainId),
 }
 
 /// Request of a gateway for the changes since the revision it knows.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -22,6 +22,7 @@
 
 use crate::address;
 use crate::departure::Incarnations;
+use crate::evacuation::Evacuations;
 use crate::member::Member;
 use crate::quarantine::StartTag;
 use crate::report;
@@ -129,6 +130,8 @@
     untrusted: BTreeMap<UpstreamId, (Upstream, Monotonic)>,
     /// Load reported by the leaders of the groups.
     pub(crate) reports: Reports,
+    /// Failure domains whose upstreams get no new requests.
+    pub evacuations: Evacuations,
 }
 
 impl Pool {
@@ -170,7 +173,8 @@
     pub fn is_ready(&self, upstream: &Upstream) -> bool {
         let member = self.members.get(&upstream.id);
         let member = member.filter(|member| !member.is_other_incarnation(upstream));
-        member.is_some_and(Member::is_ready)
+        let is_ready = member.is_some_and(Member::is_ready);
+        is_ready && !self.evacuations.contains(&upstream.failure_domain)
     }
 
     /// Sets the services that the configuration in force defines.
@@ -281,7 +285,10 @@
         let members = self.members.values();
         members.filter(move |member| {
             let is_asked = *member.upstream.service == *service;
-            is_asked && member.is_ready() && self.addresses.is_newest(&member.upstream)
+            is_asked
+                && member.is_ready()
+                && !self.evacuations.contains(&member.upstream.failure_domain)
+                && self.addresses.is_newest(&member.upstream)
         })
     }
 
--- a/crates/gateway/tests/all/departure.rs
+++ b/crates/gateway/tests/all/departure.rs
@@ -15,6 +15,7 @@
 use crate::support::millis;
 use crate::support::revision;
 use crate::support::upstream;
+use crate::support::upstreams;
 
 fn started(born: u64, state: State) -> Upstream {
     Upstream {
@@ -187,8 +188,13 @@
         .iter()
         .map(|one| Upstream::clone(one))
         .collect();
-    gateway.apply_full_read(all, Revision::default(), Revision::default(), now);
-    gateway.apply_full_read(listed, restored(4), restored(2), now);
+    gateway.apply_full_read(
+        upstreams(all),
+        Revision::default(),
+        Revision::default(),
+        now,
+    );
+    gateway.apply_full_read(upstreams(listed), restored(4), restored(2), now);
     expect_that!(gateway.freshness.may_lack_entries(millis(5_500)), eq(true));
     gateway.expire(millis(5_500));
     expect_that!(gateway.pool.ready("desk"), eq(before));
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -45,7 +45,7 @@
 }
 
 /// Returns a gateway whose knowledge is complete as of 1 s after its start.
-fn gateway(ranks: usize) -> Gateway {
+pub(crate) fn gateway(ranks: usize) -> Gateway {
     let mut gateway = blank();
     gateway.set_table(table(3));
     for number in 0..ranks {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod departure;
+mod evacuation;
 mod event;
 mod fleet;
 mod freshness;
--- a/crates/gateway/tests/all/restore/mod.rs
+++ b/crates/gateway/tests/all/restore/mod.rs
@@ -9,12 +9,14 @@
 
 use std::time::Duration;
 
+use auburnline_core::id::FailureDomainId;
 use auburnline_gateway::Gateway;
 use auburnline_gateway::message::Heartbeat;
 use auburnline_gateway::route::Table;
 use auburnline_gateway::route::Version;
 use auburnline_gateway::settled;
 use auburnline_gateway::spread::Answer;
+use auburnline_gateway::spread::Change;
 use auburnline_gateway::spread::Query;
 use auburnline_gateway::spread::Revision;
 use auburnline_gateway::spread::Update;
@@ -45,6 +47,8 @@
 const DOMAINS: usize = 4;
 /// Time after the removal of an upstream's entry from which on no gateway may use it.
 const DRAIN: Duration = Duration::from_secs(2);
+/// Time after the write of an evacuation, or of its end, from which on gateways have to follow it.
+const EVACUATION: Duration = Duration::from_secs(3);
 /// Numbers of gateways for which each test runs.
 const FLEETS: [usize; 3] = [6, 98, 340];
 
@@ -56,6 +60,8 @@
     history: Vec<Option<Version>>,
     /// Number of the write by which the upstream's entry was removed.
     removed: Option<usize>,
+    /// Numbers of the writes by which the upstream's failure domain was evacuated, or no longer.
+    evacuations: Vec<(usize, bool)>,
     is_down: bool,
 }
 
@@ -99,10 +105,35 @@
         listed.into_iter().collect()
     }
 
+    fn evacuate(&mut self, is_evacuated: bool) {
+        self.write_other(1);
+        self.evacuations.push((self.history.len(), is_evacuated));
+    }
+
+    /// Returns the evacuated failure domain, with the revision at which this was written.
+    fn evacuated(&self) -> Option<(FailureDomainId, Revision)> {
+        let (number, is_evacuated) = self.evacuations.last()?;
+        is_evacuated.then(|| ("north".into(), self.at(*number)))
+    }
+
+    /// Returns the changes of evacuations after a revision.
+    fn evacuations_after(&self, after: Revision) -> Vec<(Revision, Change)> {
+        let all = self.evacuations.iter().map(|(number, is_evacuated)| {
+            let change = if *is_evacuated {
+                Change::Evacuated("north".into())
+            } else {
+                Change::Returned("north".into())
+            };
+            (self.at(*number), change)
+        });
+        all.filter(|(at, _)| *at > after).collect()
+    }
+
     /// Restores the state after the first `number` writes.
     fn restore(&mut self, number: usize) {
         self.generation += 1;
         self.history.truncate(number);
+        self.evacuations.retain(|(written, _)| *written <= number);
     }
 }
 
@@ -142,6 +173,10 @@
     written: Vec<(Version, Duration)>,
     /// When the upstream's entry was removed.
     removed_at: Option<Duration>,
+    /// When the evacuation of the upstream's failure domain was written, if it is in force.
+    evacuated_at: Option<Duration>,
+    /// When the evacuation was removed, unless another one is in force.
+    returned_at: Option<Duration>,
     violations: Vec<String>,
 }
 
@@ -334,3 +369,57 @@
         }
     }
 }
+
+/// Guards against sends to an evacuated failure domain, or none to one that is back, where
+/// evacuations follow each other while gateways start, are suspended and lose the store.
+#[gtest]
+fn evacuations_in_series_are_followed_where_gateways_freeze_start_and_lose_the_store() {
+    for (count, seeds) in FLEETS.into_iter().zip([6, 3, 1]) {
+        for seed in 1..=seeds {
+            let mut world = World::start(count, seed);
+            world.run(Duration::from_secs(4));
+            for round in 0..6 {
+                world.evacuate(round % 2 == 0);
+                world.inject_faults();
+                let wait = world.rng.random_range(300..8_000);
+                world.run(millis(wait));
+                if round == 3 {
+                    world.store.is_down = true;
+                    world.run(Duration::from_secs(2));
+                    world.store.is_down = false;
+                    world.evacuated_at = world.evacuated_at.map(|_| world.now);
+                    world.returned_at = world.returned_at.map(|_| world.now);
+                }
+            }
+            world.run(Duration::from_secs(8));
+            expect_that!(
+                world.violations,
+                is_empty(),
+                "{count} gateways, seed {seed}"
+            );
+        }
+    }
+}
+
+/// Guards against losing an evacuation that a backup lacks, and against reviving one that had ended
+/// when the store was restored.
+#[gtest]
+fn a_restored_store_neither_ends_nor_revives_an_evacuation() {
+    for count in FLEETS {
+        let mut world = World::start(count, 1);
+        world.run(Duration::from_secs(4));
+        let before = world.store.history.len();
+        world.evacuate(true);
+        world.run(Duration::from_secs(4));
+        world.store.restore(before);
+        world.run(Duration::from_secs(4));
+        let during = world.store.history.len() + 1;
+        world.evacuate(true);
+        world.run(Duration::from_secs(4));
+        world.evacuate(false);
+        world.run(Duration::from_secs(4));
+        world.store.restore(during);
+        world.run(Duration::from_secs(4));
+        expect_that!(world.violations, is_empty(), "{count} gateways");
+    }
+}
--- a/crates/gateway/tests/all/restore/world.rs
+++ b/crates/gateway/tests/all/restore/world.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use auburnline_gateway::Gateway;
+use auburnline_gateway::gateway::Listed;
 use auburnline_gateway::message::Entry;
 use auburnline_gateway::neighbour::Roster;
 use auburnline_gateway::route::Version;
@@ -16,6 +17,7 @@
 use super::BEAT_STEPS;
 use super::DOMAINS;
 use super::DRAIN;
+use super::EVACUATION;
 use super::IN_FORCE;
 use super::INBOX_CAPACITY;
 use super::LOSS_PERCENT;
@@ -34,15 +36,6 @@
 use crate::support::number;
 use crate::support::peers;
 
-fn apply_removals(gateway: &mut Gateway, changes: &[Change]) {
-    let as_of = gateway.spread.revision().unwrap_or_default();
-    for change in changes {
-        if let Change::Removed(id) = change {
-            gateway.pool.mark_missing(id, as_of);
-        }
-    }
-}
-
 impl World {
     pub(super) fn start(count: usize, seed: u64) -> World {
         let mut world = World {
@@ -53,6 +46,8 @@
             incarnations: 0,
             written: Vec::new(),
             removed_at: None,
+            evacuated_at: None,
+            returned_at: None,
             violations: Vec::new(),
         };
         world.write(3);
@@ -161,7 +156,7 @@
             Message::Answer(answer) => {
                 gateway.spread.note_generation(answer.until.generation);
                 let (new, known_at) = gateway.spread.apply_answer(answer);
-                apply_removals(gateway, &new);
+                gateway.apply_changes(new, now);
                 if let Some(known_at) = known_at {
                     gateway.confirm(known_at, now);
                 }
@@ -212,7 +207,10 @@
         match need {
             Need::All => {
                 apply_configuration(gateway, version, written);
-                let listed = self.store.listed();
+                let listed = Listed {
+                    upstreams: self.store.listed(),
+                    evacuations: self.store.evacuated().into_iter().collect(),
+                };
                 gateway.apply_full_read(listed, self.store.revision(), written, now);
                 gateway.confirm(now, now);
             }
@@ -239,9 +237,10 @@
                 let removed = self.store.removed.map(|number| self.store.at(number));
                 let removed = removed.filter(|removed| *removed > after);
                 changes.extend(removed.map(|at| (at, Change::Removed("desk-0".into()))));
+                changes.extend(self.store.evacuations_after(after));
                 changes.sort_by_key(|(at, _)| *at);
                 let new = gateway.spread.take(changes, self.store.revision());
-                apply_removals(gateway, &new);
+                gateway.apply_changes(new, now);
                 gateway.confirm(now, now);
             }
             Need::Nothing => {}
@@ -316,6 +315,9 @@
                     self.now
                 ));
             }
+            if is_healthy && can_serve {
+                self.violations.extend(self.check_evacuation(number));
+            }
             let runs = self.now >= node.suspended_until;
             if runs && can_serve && version < revoked {
                 self.violations.push(format!(
@@ -325,6 +327,34 @@
         }
     }
 
+    /// Returns the violation of a gateway that sends to an evacuated failure domain, or sends to one
+    /// no longer although its evacuation has ended.
+    fn check_evacuation(&self, number: usize) -> Option<String> {
+        let gateway = &self.nodes[number].gateway;
+        let is_due = |at: Duration| self.now > at + EVACUATION;
+        let uses = gateway.pool.ready("desk") > 0;
+        if uses && self.evacuated_at.is_some_and(is_due) {
+            return Some(format!(
+                "gateway {number} uses an evacuated domain at {:?}",
+                self.now
+            ));
+        }
+        if !uses && self.returned_at.is_some_and(is_due) {
+            return Some(format!(
+                "gateway {number} leaves out a domain that is back at {:?}",
+                self.now
+            ));
+        }
+        None
+    }
+
+    /// Writes or removes the evacuation of the upstream's failure domain.
+    pub(super) fn evacuate(&mut self, is_evacuated: bool) {
+        self.store.evacuate(is_evacuated);
+        self.evacuated_at = is_evacuated.then_some(self.now);
+        self.returned_at = (!is_evacuated).then_some(self.now);
+    }
+
     /// Returns the number of gateways that can serve.
     pub(super) fn able(&self) -> usize {
         let nodes = self.nodes.iter();
--- a/crates/gateway/tests/all/settled.rs
+++ b/crates/gateway/tests/all/settled.rs
@@ -18,6 +18,7 @@
 use crate::support::millis;
 use crate::support::revision;
 use crate::support::upstream;
+use crate::support::upstreams;
 
 /// Other gateways that the one under test knows.
 const OTHERS: u16 = 5;
@@ -28,7 +29,12 @@
 fn following() -> Gateway {
     let mut gateway = blank();
     let listed = vec![upstream("u", "desk", State::Ready)];
-    gateway.apply_full_read(listed, revision(10), revision(3), Monotonic::ZERO);
+    gateway.apply_full_read(
+        upstreams(listed),
+        revision(10),
+        revision(3),
+        Monotonic::ZERO,
+    );
     let _ = gateway
         .freshness
         .record_success(Monotonic::ZERO, Monotonic::ZERO);
@@ -114,7 +120,7 @@
         number,
     };
     let now = millis(SETTLED_MS);
-    gateway.apply_full_read(Vec::new(), restored(4), restored(2), now);
+    gateway.apply_full_read(upstreams(Vec::new()), restored(4), restored(2), now);
     let (query, asked) = ask(&mut gateway).expect("a question");
     for from in asked {
         gateway.apply_settled(reply(query, Some(revision(99))), from);
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use auburnline_gateway::gateway::Listed;
 use auburnline_gateway::message::Entry;
 use auburnline_gateway::message::Heartbeat;
 use auburnline_gateway::route::Configuration;
@@ -100,6 +101,14 @@
     }
 }
 
+/// Returns the lists of a store without evacuations.
+pub(crate) fn upstreams(listed: Vec<Upstream>) -> Listed {
+    Listed {
+        upstreams: listed,
+        evacuations: Vec::new(),
+    }
+}
+
 /// Returns a revision of a store that was never restored.
 pub(crate) fn revision(number: u64) -> Revision {
     Revision {
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -3,8 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use auburnline_core::id::FailureDomainId;
 use auburnline_core::time::Monotonic;
+use auburnline_gateway::evacuation;
 use auburnline_gateway::freshness;
+use auburnline_gateway::gateway::Listed;
 use auburnline_gateway::route::Configuration;
 use auburnline_gateway::route::Table;
 use auburnline_gateway::spread;
@@ -42,6 +45,10 @@
     Removed(UpstreamId),
     /// A configuration was written; `None` if it cannot be decoded.
     Configuration(Option<Configuration>),
+    /// The evacuation of a failure domain was written.
+    Evacuated(FailureDomainId),
+    /// The evacuation of a failure domain was removed.
+    Returned(FailureDomainId),
 }
 
 /// Snapshot of the published state.
@@ -49,8 +56,8 @@
 pub struct Snapshot {
     /// Revision up to which the snapshot is complete.
     pub revision: Revision,
-    /// All upstreams that could be decoded.
-    pub upstreams: Vec<Upstream>,
+    /// All upstreams that could be decoded, and all evacuated failure domains.
+    pub listed: Listed,
     /// Configuration with the revision at which it was written; `None` if there is none or it cannot be decoded.
     pub configuration: Option<(Revision, Configuration)>,
 }
@@ -106,9 +113,9 @@
         self.set_generation(snapshot.revision.generation);
         let now = self.now();
         let mut gateway = self.0.gateway();
-        let changes = gateway.apply_full_read(snapshot.upstreams, snapshot.revision, written, now);
+        let changes = gateway.apply_full_read(snapshot.listed, snapshot.revision, written, now);
         drop(gateway);
-        self.0.upstreams_changed(changes);
+        self.log_applied(changes);
         self.record_answer(asked);
         self.expire();
         // Gateways that know an earlier generation learn of this one.
@@ -151,6 +158,8 @@
                     self.apply_configuration_change(revision, configuration);
                     spread::Change::Configuration
                 }
+                Change::Evacuated(domain) => spread::Change::Evacuated(domain),
+                Change::Returned(domain) => spread::Change::Returned(domain),
             };
             published.push((revision, change));
         }
@@ -261,31 +270,37 @@
     }
 
     fn apply(&self, changes: Vec<spread::Change>) {
-        let mut pool_changes = Vec::new();
-        let mut gateway = self.0.gateway();
-        let as_of = gateway.spread.revision().unwrap_or_default();
-        for change in changes {
-            match change {
-                spread::Change::Upstream(upstream) => {
-                    pool_changes.extend(gateway.pool.insert(upstream));
-                }
-                spread::Change::Removed(id) => {
-                    pool_changes.extend(gateway.pool.mark_missing(&id, as_of));
-                }
-                spread::Change::Configuration => {}
-            }
-        }
-        drop(gateway);
-        self.0.upstreams_changed(pool_changes);
+        let changes = self.0.gateway().apply_changes(changes, self.now());
+        self.log_applied(changes);
         self.expire();
     }
 
+    fn log_applied(
+        &self,
+        (upstreams, evacuations): (Vec<upstream::Change>, Vec<evacuation::Change>),
+    ) {
+        self.0.upstreams_changed(upstreams);
+        log_evacuations(&evacuations);
+    }
+
     fn expire(&self) {
         let changes = self.0.expire();
         self.0.upstreams_changed(changes);
     }
 }
 
+/// Logs which failure domains are evacuated or no longer are.
+fn log_evacuations(changes: &[evacuation::Change]) {
+    for change in changes {
+        let failure_domain = &*change.failure_domain;
+        if change.is_evacuated {
+            log::info!(target: "upstreams", failure_domain; "evacuating failure domain");
+        } else {
+            log::info!(target: "upstreams", failure_domain; "evacuation ended");
+        }
+    }
+}
+
 /// Logs changes of the upstream pool.
 pub(crate) fn log_changes(changes: &[upstream::Change]) {
     for change in changes {
