Gateways pass on compact news of which gateways live

Cause: a heartbeat describes 12 of all gateways, so a gateway gets news of 78 per 0.3 s whatever the fleet's size.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -14,6 +14,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::neighbour::news::Record;
+use crate::neighbour::news::Tag;
 use crate::quarantine::Mark;
 use crate::route::Version;
 use crate::settled;
@@ -56,7 +58,8 @@
     pub members: u32,
 }
 
-/// Any message that a gateway accepts on its peer address.
+/// Any message that a gateway accepts on its peer address. A packet holds one or more of them, one
+/// after the other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
     /// Periodic heartbeat of another gateway.
@@ -91,4 +94,10 @@
     SettledQuery(settled::Query),
     /// Reply to [`Datagram::SettledQuery`].
     SettledReply(settled::Reply),
+    /// Compact news of which gateways live.
+    News(Vec<Record>),
+    /// Request for the entries of these gateways, which a [`Datagram::News`] named.
+    EntriesQuery(Vec<Tag>),
+    /// Reply to [`Datagram::EntriesQuery`].
+    Entries(Vec<Entry>),
 }
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -1,11 +1,14 @@
 //! Membership of the gateways and their load, by gossip.
 //!
 //! Each gateway sends a [`Heartbeat`] to a few others several times a second. It describes the
-//! sender and relays part of what the sender knows of others, so that every gateway learns of all
-//! others without sending to all. A gateway without news for [`NEWS_TIMEOUT`] is no longer offered
-//! to callers; one that leaves announces it.
+//! sender and relays part of what the sender knows of others, and compact [`news`] of many more go
+//! with it, so that every gateway learns of all others without sending to all. A gateway without
+//! news for [`NEWS_TIMEOUT`] is no longer offered to callers; one that leaves announces it.
+
+pub mod news;
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +33,10 @@
 /// Time without news after which a gateway counts as failed: five heartbeats, since single ones get
 /// lost.
 pub const NEWS_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Mean gaps between two news of a gateway within which one of them is almost certain to arrive.
+const GAPS_PER_TIMEOUT: u32 = 5;
+/// Weight of one gap in the mean: a fleet of hundreds yields hundreds a second.
+const GAP_WEIGHT: f64 = 0.002;
 /// Time without news up to which a gateway may be the home of a limit. It exceeds [`NEWS_TIMEOUT`]
 /// because in a fleet of hundreds the latest news of a live gateway may be older, and all gateways
 /// have to agree on the home. Those that lend to the home hear from it directly.
@@ -39,12 +46,22 @@
 const MEMBER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Receivers of one heartbeat; bounded so that a gateway's cost does not grow with the fleet.
 const FANOUT: usize = 6;
-/// Maximum other gateways that a heartbeat describes, so that it fits into one datagram.
+/// Those of them in the gateway's own failure domain, if there are as many. Traffic between failure
+/// domains costs more, and two links a gateway carry news between them fast enough.
+const LOCAL_FANOUT: usize = 4;
+/// Maximum other gateways that a heartbeat describes, so that it fits into one frame of a link.
 const MAX_RELAYED: usize = 12;
+/// Entries that a heartbeat describes at least, changed or not.
+const MIN_RELAYED: usize = 2;
+/// Time for which heartbeats describe a gateway after its state has changed; several of its
+/// receivers pass the change on meanwhile.
+const CHANGE_TIME: Duration = Duration::from_secs(2);
 /// Maximum upstreams for which a heartbeat reports counts.
 pub const MAX_COUNTS: usize = 64;
 /// Time without news after which a gateway is removed.
 const REMOVAL_TIMEOUT: Duration = Duration::from_mins(1);
+/// Past incarnations that are remembered beyond as many as there are gateways.
+const MIN_PAST_TAGS: usize = 64;
 /// Number of the first heartbeat of a process.
 const FIRST_HEARTBEAT: u64 = 1;
 /// Heartbeats between two that also go to the seeds, which may have been down before.
@@ -61,19 +78,41 @@
 
 #[derive(Clone, Debug)]
 struct Peer {
+    /// Its state as last described in full.
     entry: Entry,
+    /// Identifies its incarnation in [`news`].
+    tag: news::Tag,
+    /// Hash of the state in `entry`.
+    state: u8,
+    /// Number of its latest known heartbeat, which may be later than that of `entry`.
+    heartbeats: u64,
+    /// When news of that heartbeat arrived.
     heard: Monotonic,
+    /// When its incarnation or the state in `entry` changed, as far as known here.
+    changed: Monotonic,
     /// When its last own message arrived, as opposed to news relayed by others.
     heard_directly: Option<Monotonic>,
 }
 
 impl Peer {
-    fn is_alive(&self, now: Monotonic) -> bool {
-        now.saturating_sub(self.heard) < NEWS_TIMEOUT
+    fn new(entry: Entry, heard: Monotonic) -> Peer {
+        Peer {
+            tag: news::tag(&entry),
+            state: news::state(&entry),
+            heartbeats: entry.heartbeats,
+            entry,
+            heard,
+            changed: heard,
+            heard_directly: None,
+        }
     }
 
-    fn may_be_home(&self, now: Monotonic) -> bool {
-        now.saturating_sub(self.heard) < HOME_TIMEOUT
+    /// Records a later heartbeat; returns the time since the news before it.
+    fn advance(&mut self, heartbeats: u64, now: Monotonic) -> Duration {
+        let gap = now.saturating_sub(self.heard);
+        self.heartbeats = heartbeats;
+        self.heard = now;
+        gap
     }
 
     fn is_member(&self, now: Monotonic) -> bool {
@@ -81,6 +120,24 @@
     }
 }
 
+/// Mean time between two news of a gateway. It grows with the fleet, because the number of news that
+/// a gateway gets per second does not.
+#[derive(Clone, Copy, Debug, Default)]
+struct Gaps {
+    mean: Duration,
+}
+
+impl Gaps {
+    fn add(&mut self, gap: Duration) {
+        self.mean = self.mean.mul_f64(1.0 - GAP_WEIGHT) + gap.mul_f64(GAP_WEIGHT);
+    }
+
+    /// Returns the time without news after which a gateway counts as failed.
+    fn timeout(self) -> Duration {
+        (self.mean * GAPS_PER_TIMEOUT).clamp(NEWS_TIMEOUT, MEMBER_TIMEOUT)
+    }
+}
+
 /// Change of another gateway's state, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Update {
@@ -90,12 +147,25 @@
     pub is_ready: bool,
 }
 
+impl Update {
+    fn of(entry: &Entry) -> Update {
+        Update {
+            instance: entry.instance.clone(),
+            is_ready: entry.is_ready,
+        }
+    }
+}
+
 /// All gateways that this one knows.
 #[derive(Clone, Debug)]
 pub struct Roster {
     own_entry: Entry,
+    own_tag: news::Tag,
     seeds: Vec<SocketAddr>,
     others: BTreeMap<InstanceId, Peer>,
+    /// Instances by the tags of their incarnations, past ones included.
+    tags: HashMap<news::Tag, InstanceId>,
+    gaps: Gaps,
     /// Own messages of others count as current only if they arrived after this time.
     ignored_until: Monotonic,
     /// Highest number of members seen at once, including this gateway.
@@ -107,14 +177,26 @@
     #[must_use]
     pub fn new(own_entry: Entry, seeds: Vec<SocketAddr>) -> Roster {
         Roster {
+            own_tag: news::tag(&own_entry),
             own_entry,
             seeds,
             others: BTreeMap::new(),
+            tags: HashMap::new(),
+            gaps: Gaps::default(),
             ignored_until: Monotonic::ZERO,
             peak_members: 1,
         }
     }
 
+    /// Returns whether news of a gateway is recent enough for it to count as running.
+    fn is_alive(&self, known: &Peer, now: Monotonic) -> bool {
+        now.saturating_sub(known.heard) < self.gaps.timeout()
+    }
+
+    fn may_be_home(&self, known: &Peer, now: Monotonic) -> bool {
+        now.saturating_sub(known.heard) < self.gaps.timeout().max(HOME_TIMEOUT)
+    }
+
     /// Sets the addresses that are contacted before other gateways are known.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
@@ -142,7 +224,10 @@
     /// it. Different gateways get different addresses, to spread the load: a configuration is the
     /// longest message.
     pub(crate) fn newest_version(&self, now: Monotonic) -> Option<(Version, SocketAddr)> {
-        let live = self.others.values().filter(|known| known.is_alive(now));
+        let live = self
+            .others
+            .values()
+            .filter(|known| self.is_alive(known, now));
         let versions = live.filter_map(|known| Some((known.entry.version?, &known.entry)));
         let newest = versions.max_by_key(|(version, entry)| {
             (
@@ -189,7 +274,10 @@
     /// domain, and whether this gateway is a reader itself.
     #[must_use]
     pub fn readers(&self, now: Monotonic) -> (Vec<SocketAddr>, bool) {
-        let live = self.others.values().filter(|known| known.is_alive(now));
+        let live = self
+            .others
+            .values()
+            .filter(|known| self.is_alive(known, now));
         let all: Vec<&Entry> = live
             .map(|known| &known.entry)
             .chain([&self.own_entry])
@@ -226,7 +314,7 @@
             heard: now,
         };
         let others = self.others.values();
-        let others = others.filter(|known| known.may_be_home(now));
+        let others = others.filter(|known| self.may_be_home(known, now));
         let others = others.map(|known| Home {
             entry: &known.entry,
             heard: known.heard,
@@ -261,39 +349,56 @@
         if entry.instance == self.own_entry.instance {
             return None;
         }
-        let known = self.others.get(&entry.instance);
-        let is_newer = known.is_none_or(|known| {
-            if known.entry.incarnation == entry.incarnation {
-                entry.heartbeats > known.entry.heartbeats
-            } else {
-                // Incarnations have no order, and others may still relay the previous one.
-                is_direct || !known.is_alive(now)
-            }
-        });
-        if !is_newer {
-            let known = self.others.get_mut(&entry.instance);
-            if let Some(known) =
-                known.filter(|known| is_direct && known.entry.heartbeats == entry.heartbeats)
-            {
-                known.heard_directly = Some(now);
-            }
+        let timeout = self.gaps.timeout();
+        let known = match self.others.get_mut(&entry.instance) {
+            Some(known) if known.entry.incarnation == entry.incarnation => known,
+            // Incarnations have no order, and others may still relay the previous one.
+            Some(known) if !is_direct && now.saturating_sub(known.heard) < timeout => return None,
+            _ => return self.add(entry, is_direct, now),
+        };
+        if is_direct && entry.heartbeats >= known.entry.heartbeats {
+            known.heard_directly = Some(now);
+        }
+        if entry.heartbeats <= known.entry.heartbeats {
             return None;
         }
-        let is_update = known
-            .is_none_or(|known| !known.is_alive(now) || known.entry.is_ready != entry.is_ready);
-        let entry = entry.clone();
-        let update = Update {
-            instance: entry.instance.clone(),
-            is_ready: entry.is_ready,
-        };
-        let before = known.and_then(|known| known.heard_directly);
-        let known = Peer {
-            entry,
-            heard: now,
-            heard_directly: if is_direct { Some(now) } else { before },
-        };
-        self.others.insert(known.entry.instance.clone(), known);
-        is_update.then_some(update)
+        let was_alive = now.saturating_sub(known.heard) < timeout;
+        if entry.heartbeats > known.heartbeats {
+            let gap = known.advance(entry.heartbeats, now);
+            self.gaps.add(gap);
+        }
+        let is_changed = known.entry.is_ready != entry.is_ready;
+        let state = news::state(entry);
+        if known.state != state {
+            known.state = state;
+            known.changed = now;
+        }
+        known.entry = entry.clone();
+        (is_changed || !was_alive).then(|| Update::of(entry))
+    }
+
+    /// Adds a gateway or replaces its previous incarnation.
+    fn add(&mut self, entry: &Entry, is_direct: bool, now: Monotonic) -> Option<Update> {
+        let mut peer = Peer::new(entry.clone(), now);
+        peer.heard_directly = is_direct.then_some(now);
+        self.tags.insert(peer.tag, entry.instance.clone());
+        let before = self.others.insert(entry.instance.clone(), peer);
+        self.forget_past_tags();
+        let before = before.filter(|known| self.is_alive(known, now));
+        let is_same = before.is_some_and(|known| known.entry.is_ready == entry.is_ready);
+        (!is_same).then(|| Update::of(entry))
+    }
+
+    /// Drops the tags of past incarnations once they outnumber the gateways, which may restart any
+    /// number of times.
+    fn forget_past_tags(&mut self) {
+        if self.tags.len() > MIN_PAST_TAGS + 2 * self.others.len() {
+            self.tags = self
+                .others
+                .iter()
+                .map(|(instance, known)| (known.tag, instance.clone()))
+                .collect();
+        }
     }
 
     /// Returns whether the sender of a heartbeat just started or was considered failed, so that the
@@ -302,7 +407,7 @@
     pub fn needs_join_reply(&self, heartbeat: &Heartbeat, now: Monotonic) -> bool {
         let known = self.others.get(&heartbeat.from.instance);
         heartbeat.from.heartbeats == FIRST_HEARTBEAT
-            || known.is_none_or(|known| !known.is_alive(now))
+            || known.is_none_or(|known| !self.is_alive(known, now))
     }
 
     /// Extends all timeouts by the time for which this process was suspended and received nothing.
@@ -312,6 +417,17 @@
         }
     }
 
+    /// Removes gateways without news for a long time.
+    fn forget_silent(&mut self, now: Monotonic) {
+        let before = self.others.len();
+        self.others
+            .retain(|_, known| now.saturating_sub(known.heard) < REMOVAL_TIMEOUT);
+        if self.others.len() < before {
+            self.tags
+                .retain(|_, instance| self.others.contains_key(instance));
+        }
+    }
+
     /// Creates the next heartbeat, and removes gateways without news for a long time.
     pub fn next_heartbeat(
         &mut self,
@@ -320,21 +436,30 @@
         rng: &mut impl Rng,
     ) -> Heartbeat {
         self.own_entry.heartbeats += 1;
-        self.others
-            .retain(|_, known| now.saturating_sub(known.heard) < REMOVAL_TIMEOUT);
-        let live = self.others.values().filter(|known| known.is_alive(now));
-        let relayed = live.choose_multiple(rng, MAX_RELAYED);
+        self.forget_silent(now);
         Heartbeat {
             from: self.own_entry.clone(),
             counts,
-            others: relayed
-                .into_iter()
-                .map(|known| known.entry.clone())
-                .collect(),
+            others: self.relayed(now, rng),
             members: count(self.members(now)),
         }
     }
 
+    /// Returns the entries of some live gateways: those that have just changed, and a few others.
+    fn relayed(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<Entry> {
+        let live = self
+            .others
+            .values()
+            .filter(|known| self.is_alive(known, now));
+        let (changed, same): (Vec<&Peer>, Vec<&Peer>) =
+            live.partition(|known| now.saturating_sub(known.changed) < CHANGE_TIME);
+        let changed = changed.into_iter().choose_multiple(rng, MAX_RELAYED);
+        let more = MIN_RELAYED.saturating_sub(changed.len());
+        let same = same.into_iter().choose_multiple(rng, more);
+        let relayed = changed.into_iter().chain(same);
+        relayed.map(|known| known.entry.clone()).collect()
+    }
+
     /// Returns the last heartbeat without gossip about others, for a gateway that lends to this
     /// one.
     #[must_use]
@@ -350,7 +475,10 @@
     /// Returns the last heartbeat with gossip about some others, for a gateway that started or came
     /// back.
     pub(crate) fn join_reply(&self, now: Monotonic, rng: &mut impl Rng) -> Heartbeat {
-        let live = self.others.values().filter(|known| known.is_alive(now));
+        let live = self
+            .others
+            .values()
+            .filter(|known| self.is_alive(known, now));
         let relayed = live.choose_multiple(rng, MAX_RELAYED);
         Heartbeat {
             others: relayed
@@ -363,7 +491,7 @@
 
     /// Returns the addresses to send the next heartbeat to.
     pub fn targets(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<SocketAddr> {
-        let mut targets = self.sample(FANOUT, now, rng);
+        let mut targets = self.sample_near(now, rng);
         let is_isolated = targets.len() < FANOUT / 2;
         if is_isolated || self.own_entry.heartbeats.is_multiple_of(SEED_HEARTBEATS) {
             targets.extend(
@@ -383,6 +511,22 @@
         targets
     }
 
+    /// Returns the peer addresses of [`FANOUT`] other live gateways, most of them in the own failure
+    /// domain.
+    fn sample_near(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let live = self
+            .others
+            .values()
+            .filter(|known| self.is_alive(known, now));
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) =
+            live.partition(|known| known.entry.failure_domain == self.own_entry.failure_domain);
+        let far_count = far.len().min(FANOUT - LOCAL_FANOUT.min(near.len()));
+        let near = near.into_iter().choose_multiple(rng, FANOUT - far_count);
+        let far = far.into_iter().choose_multiple(rng, far_count);
+        let targets = near.into_iter().chain(far);
+        targets.map(|known| known.entry.peers).collect()
+    }
+
     /// Returns the peer addresses of other live gateways, at most `most`, selected at random.
     pub(crate) fn sample(
         &self,
@@ -390,7 +534,10 @@
         now: Monotonic,
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
-        let live = self.others.values().filter(|known| known.is_alive(now));
+        let live = self
+            .others
+            .values()
+            .filter(|known| self.is_alive(known, now));
         let addresses = live.map(|known| known.entry.peers);
         addresses.choose_multiple(rng, most)
     }
@@ -398,7 +545,10 @@
     /// Returns the peer addresses of this gateway and of live others, at most `most`.
     #[must_use]
     pub fn addresses(&self, now: Monotonic, most: usize) -> Vec<SocketAddr> {
-        let live = self.others.values().filter(|known| known.is_alive(now));
+        let live = self
+            .others
+            .values()
+            .filter(|known| self.is_alive(known, now));
         let others = live.map(|known| known.entry.peers);
         std::iter::once(self.own_entry.peers)
             .chain(others)
@@ -412,7 +562,7 @@
         1 + self
             .others
             .values()
-            .filter(|known| known.is_alive(now))
+            .filter(|known| self.is_alive(known, now))
             .count()
     }
 
@@ -434,7 +584,7 @@
     pub fn offer(&self, domain: Option<&str>, seed: u64, now: Monotonic) -> Offer {
         let others = self.others.values();
         let mut candidates: Vec<Candidate> = others
-            .map(|known| candidate(&known.entry, known.is_alive(now)))
+            .map(|known| candidate(&known.entry, self.is_alive(known, now)))
             .collect();
         candidates.push(candidate(&self.own_entry, true));
         discovery::offer(&candidates, domain, seed)
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod group;
 mod limit;
 mod load;
+mod membership;
 mod neighbour;
 mod pace;
 mod quarantine;
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -10,6 +10,7 @@
 use auburnline_gateway::message::Heartbeat;
 use auburnline_gateway::neighbour::HEARTBEAT_PERIOD;
 use auburnline_gateway::neighbour::MAX_COUNTS;
+use auburnline_gateway::neighbour::Update;
 use auburnline_gateway::route::ServiceId;
 use auburnline_gateway::settled;
 use auburnline_gateway::spread::Query;
@@ -52,7 +53,7 @@
                 tick(&shared, &mut rng);
             }
             received = socket.recv_from(&mut bytes) => match received {
-                Ok((length, from)) => handle_message(&shared, &bytes[..length], from),
+                Ok((length, from)) => handle_packet(&shared, &bytes[..length], from),
                 Err(error) => log::debug!(target: "neighbours", cause = error.to_string().as_str(); "failed to receive datagram"),
             }
         }
@@ -84,16 +85,13 @@
         (heartbeat, gateway.roster.targets(now, rng))
     };
     let heartbeats = heartbeat.from.heartbeats;
-    let message = Datagram::Heartbeat(heartbeat);
+    let mut messages = vec![Datagram::Heartbeat(heartbeat)];
+    messages.push(Datagram::News(shared.gateway().roster.news(now, rng)));
     let marks = shared.gateway().quarantine.marks(now);
-    let crashes = (!marks.is_empty()).then_some(Datagram::Crashes(marks));
+    messages.extend((!marks.is_empty()).then_some(Datagram::Crashes(marks)));
     let notices = shared.gateway().heartbeat_limits(now);
-    let limits = (!notices.is_empty()).then_some(Datagram::Limits(notices));
-    let messages = [Some(message), crashes, limits];
-    for target in targets {
-        let present = messages.iter().flatten();
-        present.for_each(|message| shared.send(message, target));
-    }
+    messages.extend((!notices.is_empty()).then_some(Datagram::Limits(notices)));
+    shared.send_all(&messages, &targets);
     limit::lend(shared);
     ask_settled(shared, now, rng);
     request_newer_configuration(shared, now);
@@ -160,9 +158,27 @@
     }
 }
 
-fn handle_message(shared: &Rc<Shared>, bytes: &[u8], from: SocketAddr) {
-    match postcard::from_bytes(bytes) {
-        Ok(Datagram::Heartbeat(heartbeat)) => {
+/// Handles the messages of a packet one after the other.
+fn handle_packet(shared: &Rc<Shared>, mut bytes: &[u8], from: SocketAddr) {
+    while !bytes.is_empty() {
+        match postcard::take_from_bytes(bytes) {
+            Ok((message, rest)) => {
+                bytes = rest;
+                handle_message(shared, message, from);
+            }
+            Err(error) => {
+                let cause = error.to_string();
+                log::debug!(target: "neighbours", cause = cause.as_str(); "malformed message");
+                metrics::counter!("auburnline_messages_malformed_total").increment(1);
+                return;
+            }
+        }
+    }
+}
+
+fn handle_message(shared: &Rc<Shared>, message: Datagram, from: SocketAddr) {
+    match message {
+        Datagram::Heartbeat(heartbeat) => {
             let needs_join_reply = shared
                 .gateway()
                 .roster
@@ -173,24 +189,23 @@
                 send_join_reply(shared, from);
             }
         }
-        Ok(Datagram::JoinReply(heartbeat)) => handle_heartbeat(shared, heartbeat),
-        Ok(Datagram::MembersQuery(query)) => {
+        Datagram::JoinReply(heartbeat) => handle_heartbeat(shared, heartbeat),
+        Datagram::MembersQuery(query) => {
             let members = shared.gateway().members(&query, shared.now());
             shared.send(&Message::Members(members), from);
         }
-        Ok(Datagram::Group(digest)) => handle_digest(shared, &digest),
-        Ok(Datagram::Forwarded(Forwarded { to, digest })) => {
+        Datagram::Group(digest) => handle_digest(shared, &digest),
+        Datagram::Forwarded(Forwarded { to, digest }) => {
             handle_digest(shared, &digest);
             let message = Datagram::Group(digest);
-            for gateway in to.into_iter().take(MAX_FORWARDED) {
-                shared.send(&message, gateway);
-            }
+            let to = &to[..to.len().min(MAX_FORWARDED)];
+            shared.send_all(&[message], to);
         }
-        Ok(Datagram::Query(query)) => {
+        Datagram::Query(query) => {
             Feed(Rc::clone(shared)).note_generation(query.revision.generation);
             shared.answer(query, from);
         }
-        Ok(Datagram::ConfigurationQuery(version)) => {
+        Datagram::ConfigurationQuery(version) => {
             let update = shared
                 .gateway()
                 .spread
@@ -200,22 +215,37 @@
                 shared.send(&Datagram::Configuration(Box::new(update)), from);
             }
         }
-        Ok(Datagram::Answer(answer)) => Feed(Rc::clone(shared)).apply_answer(answer),
-        Ok(Datagram::Configuration(update)) => Feed(Rc::clone(shared)).apply_relayed(*update),
-        Ok(Datagram::Crashes(marks)) => crash::merge_marks(shared, &marks),
-        Ok(Datagram::Limits(notices)) => limit::merge_notices(shared, &notices, from),
-        Ok(Datagram::Loan(loan)) => limit::accept_loan(shared, &loan, from),
-        Ok(Datagram::PermitRequest(request)) => limit::answer(shared, request, from),
-        Ok(Datagram::PermitReply(reply)) => limit::deliver_reply(shared, reply),
-        Ok(Datagram::SettledQuery(query)) => {
+        Datagram::Answer(answer) => Feed(Rc::clone(shared)).apply_answer(answer),
+        Datagram::Configuration(update) => Feed(Rc::clone(shared)).apply_relayed(*update),
+        Datagram::Crashes(marks) => crash::merge_marks(shared, &marks),
+        Datagram::Limits(notices) => limit::merge_notices(shared, &notices, from),
+        Datagram::Loan(loan) => limit::accept_loan(shared, &loan, from),
+        Datagram::PermitRequest(request) => limit::answer(shared, request, from),
+        Datagram::PermitReply(reply) => limit::deliver_reply(shared, reply),
+        Datagram::SettledQuery(query) => {
             let reply = shared.gateway().reply_settled(query, shared.now());
             shared.send(&Datagram::SettledReply(reply), from);
         }
-        Ok(Datagram::SettledReply(reply)) => apply_settled(shared, reply, from),
-        Err(error) => {
-            let cause = error.to_string();
-            log::debug!(target: "neighbours", cause = cause.as_str(); "malformed message");
-            metrics::counter!("auburnline_messages_malformed_total").increment(1);
+        Datagram::SettledReply(reply) => apply_settled(shared, reply, from),
+        Datagram::News(news) => {
+            let requested = shared.gateway().roster.apply_news(&news, shared.now());
+            if !requested.is_empty() {
+                shared.send(&Datagram::EntriesQuery(requested), from);
+            }
+        }
+        Datagram::EntriesQuery(requested) => {
+            let now = shared.now();
+            let entries = shared.gateway().roster.entries(&requested, now);
+            if !entries.is_empty() {
+                shared.send(&Datagram::Entries(entries), from);
+            }
+        }
+        Datagram::Entries(entries) => {
+            let updates = shared
+                .gateway()
+                .roster
+                .apply_entries(&entries, shared.now());
+            log_updates(&updates);
         }
     }
 }
@@ -237,9 +267,8 @@
 fn handle_heartbeat(shared: &Shared, heartbeat: Heartbeat) {
     let now = shared.now();
     let mut gateway = shared.gateway();
-    for update in gateway.roster.receive(&heartbeat, now) {
-        log::info!(target: "neighbours", instance = &*update.instance, is_ready = update.is_ready; "heard");
-    }
+    let updates = gateway.roster.receive(&heartbeat, now);
+    log_updates(&updates);
     let neighbour = stable(0, heartbeat.from.instance.as_bytes());
     gateway
         .pool
@@ -252,6 +281,12 @@
     }
 }
 
+fn log_updates(updates: &[Update]) {
+    for update in updates {
+        log::info!(target: "neighbours", instance = &*update.instance, is_ready = update.is_ready; "heard");
+    }
+}
+
 /// Sends a gateway that has just started or reappeared the state of this one and of some others, so that it need not wait for
 /// their heartbeats.
 fn send_join_reply(shared: &Shared, to: SocketAddr) {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -91,18 +91,25 @@
 
     /// Sends a message to another process. Delivery is best effort: a message that cannot be sent is dropped.
     pub(crate) fn send(&self, message: &impl Serialize, to: SocketAddr) {
+        if let Some(packet) = encode(std::slice::from_ref(message)) {
+            self.send_packet(&packet, to);
+        }
+    }
+
+    /// Sends messages in one packet to each of several processes.
+    pub(crate) fn send_all(&self, messages: &[impl Serialize], to: &[SocketAddr]) {
+        if let Some(packet) = encode(messages) {
+            for to in to {
+                self.send_packet(&packet, *to);
+            }
+        }
+    }
+
+    fn send_packet(&self, packet: &[u8], to: SocketAddr) {
         let Some(socket) = self.socket.get() else {
             return;
         };
-        let Ok(bytes) = postcard::to_stdvec(message) else {
-            log::error!(target: "neighbours", "failed to encode message");
-            return;
-        };
-        if bytes.len() > MAX_DATAGRAM_BYTES {
-            log::debug!(target: "neighbours", bytes = bytes.len(); "message exceeds the maximum datagram size");
-            return;
-        }
-        if let Err(error) = socket.try_send_to(&bytes, to) {
+        if let Err(error) = socket.try_send_to(packet, to) {
             let cause = error.to_string();
             log::debug!(target: "neighbours", cause = cause.as_str(); "failed to send message");
         }
@@ -139,10 +146,8 @@
             return;
         };
         drop(gateway);
-        let message = Datagram::Answer(answer);
-        subscribers
-            .keys()
-            .for_each(|subscriber| self.send(&message, *subscriber));
+        let subscribers: Vec<SocketAddr> = subscribers.keys().copied().collect();
+        self.send_all(&[Datagram::Answer(answer)], &subscribers);
     }
 
     /// Registers a request that waits for a reply from a limit's home; the receiver yields the reply.
@@ -287,6 +292,23 @@
     }
 }
 
+/// Encodes messages one after the other; none if they exceed one packet.
+fn encode(messages: &[impl Serialize]) -> Option<Vec<u8>> {
+    let mut packet = Vec::new();
+    for message in messages {
+        let Ok(bytes) = postcard::to_stdvec(message) else {
+            log::error!(target: "neighbours", "failed to encode message");
+            return None;
+        };
+        packet.extend(bytes);
+    }
+    if packet.len() > MAX_DATAGRAM_BYTES {
+        log::debug!(target: "neighbours", bytes = packet.len(); "message exceeds the maximum datagram size");
+        return None;
+    }
+    Some(packet)
+}
+
 /// Logs that the store answers again after a failure.
 pub(crate) fn log_regained(gateway: &Gateway, now: Monotonic) {
     let age_ms = millis(gateway.freshness.age(now).unwrap_or_default());
