Three gateways read the store for a large fleet, relays pass their news on

Change: readers are selected from the whole fleet; two relays a domain query them and push changes on, a configuration that was asked for is pushed when it arrives. Domains of up to three gateways read as before. Ruled out: longer polls, which age the state known towards the revocation bound.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::group::Groups;
 use crate::limit::Limits;
 use crate::neighbour::Roster;
+use crate::neighbour::reader::Role;
 use crate::pace::Group;
 use crate::quarantine::Quarantine;
 use crate::request::Plan;
@@ -43,6 +44,7 @@
 use crate::spread::Need;
 use crate::spread::Revision;
 use crate::spread::Spread;
+use crate::subscription::Subscribers;
 use crate::upstream::Change;
 use crate::upstream::Outcome;
 use crate::upstream::Pool;
@@ -137,6 +139,8 @@
     pub(crate) lag: Lag,
     /// How far the store has been read, and what is passed on to other gateways.
     pub spread: Spread,
+    /// Gateways that are informed of changes.
+    pub(crate) subscribers: Subscribers,
     /// What other gateways agreed on about missing upstreams.
     pub(crate) agreement: Agreement,
     /// Requests held back because they crash the upstreams that run them.
@@ -170,6 +174,7 @@
             freshness: Freshness::new(bounds.revocation),
             lag: Lag::default(),
             spread: Spread::default(),
+            subscribers: Subscribers::default(),
             agreement: Agreement::default(),
             quarantine: Quarantine::default(),
             limits: Limits::default(),
@@ -287,7 +292,7 @@
     /// Returns what this gateway has to read from the store now: as a reader, or if no reader keeps
     /// it informed.
     pub fn need(&mut self, now: Monotonic) -> Need {
-        let (_, is_reader) = self.roster.readers(now);
+        let is_reader = self.roster.role(now) == Role::Reader;
         let is_alone = spread::must_read_itself(self.freshness.age(now));
         let is_unanswered = self.spread.is_unanswered(now);
         self.spread
@@ -303,7 +308,7 @@
         if !is_relayed {
             self.freshness.record_failure(now);
         }
-        let (_, is_reader) = self.roster.readers(now);
+        let is_reader = self.roster.role(now) == Role::Reader;
         let is_unanswered = self.spread.is_unanswered(now);
         StoreFailure {
             is_first,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! - `backoff`: which upstreams have asked for backoff
 //! - [`freshness`]: how old the known state may be
 //! - [`spread`]: which gateways read the store on behalf of others
+//! - `subscription`: which gateways are sent changes without asking
 //! - [`settled`]: which upstreams missing from the list are gone
 //! - `version`: whether another gateway has a newer configuration
 //! - [`event`]: splitting streams into whole events
@@ -52,6 +53,7 @@
 pub mod route;
 pub mod settled;
 pub mod spread;
+mod subscription;
 pub mod upstream;
 mod version;
 
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -6,6 +6,7 @@
 //! news for [`NEWS_TIMEOUT`] is no longer offered to callers; one that leaves announces it.
 
 pub mod news;
+pub mod reader;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -24,7 +25,6 @@
 use crate::message::Entry;
 use crate::message::Heartbeat;
 use crate::route::Version;
-use crate::spread;
 use crate::upstream::Counts;
 
 /// Interval of heartbeats: several arrive within [`NEWS_TIMEOUT`], and the reported counts of
@@ -270,42 +270,6 @@
         self.own_entry.is_store_unreachable
     }
 
-    /// Returns the addresses of the other gateways that read the store for this one's failure
-    /// domain, and whether this gateway is a reader itself.
-    #[must_use]
-    pub fn readers(&self, now: Monotonic) -> (Vec<SocketAddr>, bool) {
-        let live = self
-            .others
-            .values()
-            .filter(|known| self.is_alive(known, now));
-        let all: Vec<&Entry> = live
-            .map(|known| &known.entry)
-            .chain([&self.own_entry])
-            .collect();
-        let is_near = |entry: &&Entry| entry.failure_domain == self.own_entry.failure_domain;
-        // A gateway that the store rejects may use readers of any failure domain.
-        let able = all
-            .iter()
-            .copied()
-            .filter(|entry| !entry.is_store_unreachable);
-        let mut able: Vec<&Entry> = able
-            .filter(|entry| self.own_entry.is_store_unreachable || is_near(entry))
-            .collect();
-        if able.is_empty() {
-            // The store answers no gateway: the readers of each failure domain keep trying for the
-            // others.
-            able = all.into_iter().filter(is_near).collect();
-        }
-        let readers = spread::readers(able);
-        let is_reader = readers
-            .iter()
-            .any(|entry| entry.instance == self.own_entry.instance);
-        let others = readers
-            .iter()
-            .filter(|entry| entry.instance != self.own_entry.instance);
-        (others.map(|entry| entry.peers).collect(), is_reader)
-    }
-
     /// Returns the gateway with the highest rendezvous score for `key`; one that accepts requests
     /// is preferred.
     pub(crate) fn home(&self, key: &str, now: Monotonic) -> Home<'_> {
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -1,9 +1,9 @@
 //! Distribution of the published state: which gateways read the store, and how the others get the
 //! changes from them.
 //!
-//! Each failure domain has a few readers. All gateways select the same ones from the set of live
-//! gateways that reach the store. The others query a reader and get the changes since the revision
-//! they know, or learn that they have to read the full state themselves. An answer is dated to the
+//! A few gateways read the store, and [`crate::neighbour::reader`] selects them. The others query
+//! one of these, or a gateway that does, and get the changes since the revision they know, or learn
+//! that they have to read the full state themselves. An answer is dated to the
 //! time its query was sent, minus the age of the reader's own knowledge, so that a delayed message
 //! never makes knowledge look younger than it is.
 //!
@@ -17,13 +17,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use auburnline_core::hash::rendezvous;
 use auburnline_core::id::FailureDomainId;
 use auburnline_core::time::Monotonic;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::message::Entry;
 use crate::route::Configuration;
 use crate::route::Version;
 use crate::upstream::Upstream;
@@ -33,12 +31,6 @@
 pub use revision::Generation;
 pub use revision::Revision;
 
-/// Readers per failure domain: two, so that one is left while the replacement of a failed one is
-/// not yet selected.
-const READERS_PER_DOMAIN: usize = 2;
-/// Largest failure domain in which all gateways are readers, since querying each other would save
-/// no calls to the store.
-const MAX_DOMAIN_OF_READERS: usize = 3;
 /// Changes that a reader keeps to answer queries: several seconds at the highest rate of change.
 const MAX_KEPT_CHANGES: usize = 256;
 /// Maximum changes in an answer, so that it fits into one datagram.
@@ -237,6 +229,11 @@
             .filter(|kept| kept.revision > known)
     }
 
+    /// Returns the newest configuration, if any is known.
+    pub(crate) const fn kept_configuration(&self) -> Option<&Update> {
+        self.kept_configuration.as_ref()
+    }
+
     /// Returns the kept configuration if its version is newer than `version`.
     #[must_use]
     pub fn configuration_newer_than(&self, version: Option<Version>) -> Option<&Update> {
@@ -415,16 +412,6 @@
     }
 }
 
-/// Returns the readers among the live gateways of one failure domain that reach the store.
-#[must_use]
-pub fn readers(mut able: Vec<&Entry>) -> Vec<&Entry> {
-    if able.len() > MAX_DOMAIN_OF_READERS {
-        able.sort_by_key(|entry| std::cmp::Reverse(rendezvous("readers", &entry.instance)));
-        able.truncate(READERS_PER_DOMAIN);
-    }
-    able
-}
-
 /// Returns whether knowledge of this age requires a gateway to read the store itself.
 #[must_use]
 pub fn must_read_itself(age: Option<Duration>) -> bool {
--- a/crates/gateway/tests/all/neighbour.rs
+++ b/crates/gateway/tests/all/neighbour.rs
@@ -4,6 +4,7 @@
 use auburnline_gateway::message::Heartbeat;
 use auburnline_gateway::neighbour::NEWS_TIMEOUT;
 use auburnline_gateway::neighbour::Roster;
+use auburnline_gateway::neighbour::reader::Role;
 use googletest::prelude::*;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -112,11 +113,11 @@
     far.failure_domain = "south".into();
     let far_address = far.peers;
     roster.receive(&heartbeat(far, Vec::new()), millis(0));
-    let (readers, is_reader) = roster.readers(millis(0));
-    assert_that!((readers, is_reader), eq(&(Vec::new(), true)));
+    assert_that!(roster.informants(millis(0)), is_empty());
+    assert_that!(roster.role(millis(0)), eq(Role::Reader));
     roster.set_store_unreachable(true);
-    let (readers, is_reader) = roster.readers(millis(0));
-    assert_that!((readers, is_reader), eq(&(vec![far_address], false)));
+    assert_that!(roster.informants(millis(0)), eq(&[far_address]));
+    assert_that!(roster.role(millis(0)), eq(Role::Follower));
 }
 
 #[gtest]
@@ -145,9 +146,10 @@
             from.is_store_unreachable = true;
             roster.receive(&heartbeat(from, Vec::new()), millis(0));
         }
-        let (others, is_reader) = roster.readers(millis(0));
+        let is_reader = roster.role(millis(0)) == Role::Reader;
         readers += usize::from(is_reader);
-        assert_that!(others.len() + usize::from(is_reader), eq(2));
+        let informants = if is_reader { 0 } else { 2 };
+        assert_that!(roster.informants(millis(0)).len(), eq(informants));
     }
     assert_that!(readers, eq(2));
 }
--- a/crates/gateway/tests/all/restore/mod.rs
+++ b/crates/gateway/tests/all/restore/mod.rs
@@ -11,7 +11,12 @@
 
 use auburnline_core::id::FailureDomainId;
 use auburnline_gateway::Gateway;
+use auburnline_gateway::message::Datagram;
+use auburnline_gateway::message::Entry;
 use auburnline_gateway::message::Heartbeat;
+use auburnline_gateway::neighbour::news::Record;
+use auburnline_gateway::neighbour::news::Tag;
+use auburnline_gateway::neighbour::reader::Role;
 use auburnline_gateway::route::Table;
 use auburnline_gateway::route::Version;
 use auburnline_gateway::settled;
@@ -139,8 +144,10 @@
 
 #[derive(Clone)]
 enum Message {
-    Heartbeat(Heartbeat),
+    Heartbeat(Heartbeat, Vec<Record>),
     JoinReply(Heartbeat),
+    EntriesQuery(Vec<Tag>),
+    Entries(Vec<Entry>),
     Query(Query),
     Answer(Answer),
     ConfigurationQuery(Option<Version>),
@@ -149,6 +156,16 @@
     SettledReply(settled::Reply),
 }
 
+impl From<Datagram> for Message {
+    fn from(message: Datagram) -> Message {
+        match message {
+            Datagram::Answer(answer) => Message::Answer(answer),
+            Datagram::Configuration(update) => Message::Configuration(*update),
+            other => panic!("a message that is not in the simulation: {other:?}"),
+        }
+    }
+}
+
 struct Node {
     gateway: Gateway,
     started: Duration,
@@ -314,8 +331,8 @@
             world.run(millis(wait));
             for number in 0..count {
                 let now = world.now.saturating_sub(world.nodes[number].started);
-                let (_, is_reader) = world.nodes[number].gateway.roster.readers(now);
-                if is_reader && number % DOMAINS == 0 {
+                let role = world.nodes[number].gateway.roster.role(now);
+                if role != Role::Follower && number % DOMAINS == 0 {
                     world.nodes[number].suspended_until = world.now + Duration::from_secs(9);
                 }
             }
--- a/crates/gateway/tests/all/restore/world.rs
+++ b/crates/gateway/tests/all/restore/world.rs
@@ -5,11 +5,13 @@
 
 use auburnline_gateway::Gateway;
 use auburnline_gateway::gateway::Listed;
+use auburnline_gateway::message::Datagram;
 use auburnline_gateway::message::Entry;
 use auburnline_gateway::neighbour::Roster;
 use auburnline_gateway::route::Version;
 use auburnline_gateway::spread::Change;
 use auburnline_gateway::spread::Need;
+use auburnline_gateway::spread::Revision;
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -132,13 +134,23 @@
         let now = self.now.saturating_sub(node.started);
         let gateway = &mut node.gateway;
         let reply = match message {
-            Message::Heartbeat(heartbeat) => {
+            Message::Heartbeat(heartbeat, news) => {
                 let needs_join_reply = gateway.roster.needs_join_reply(&heartbeat, now);
                 gateway.roster.receive(&heartbeat, now);
-                needs_join_reply.then(|| {
+                let requested = gateway.roster.apply_news(&news, now);
+                if needs_join_reply {
                     let mut rng = ChaCha8Rng::from_rng(&mut self.rng);
-                    Message::JoinReply(gateway.join_reply(now, &mut rng))
-                })
+                    Some(Message::JoinReply(gateway.join_reply(now, &mut rng)))
+                } else {
+                    (!requested.is_empty()).then_some(Message::EntriesQuery(requested))
+                }
+            }
+            Message::EntriesQuery(requested) => {
+                Some(Message::Entries(gateway.roster.entries(&requested, now)))
+            }
+            Message::Entries(entries) => {
+                gateway.roster.apply_entries(&entries, now);
+                None
             }
             Message::JoinReply(heartbeat) => {
                 gateway.roster.receive(&heartbeat, now);
@@ -146,20 +158,29 @@
             }
             Message::Query(query) => {
                 gateway.spread.note_generation(query.revision.generation);
-                let age = gateway.freshness.age(now).unwrap_or_default();
-                let answer = gateway.spread.answer(query, age).map(Message::Answer);
-                if let Some(update) = gateway.spread.requested_configuration(query).cloned() {
-                    self.send(number, peers(from), Message::Configuration(update));
+                let replies = gateway.answer_query(query, peers(from), now);
+                for reply in replies {
+                    self.send(number, peers(from), reply.into());
                 }
-                answer
+                None
             }
             Message::Answer(answer) => {
                 gateway.spread.note_generation(answer.until.generation);
+                let since = gateway.spread.revision().unwrap_or_default();
+                let was_awaiting = gateway.spread.awaits_configuration();
                 let (new, known_at) = gateway.spread.apply_answer(answer);
+                let is_awaiting = gateway.spread.awaits_configuration();
+                let has_changes = !new.is_empty();
                 gateway.apply_changes(new, now);
                 if let Some(known_at) = known_at {
                     gateway.confirm(known_at, now);
                 }
+                if has_changes {
+                    self.push_changes(number, since);
+                }
+                if is_awaiting && !was_awaiting {
+                    self.query(number);
+                }
                 None
             }
             Message::SettledQuery(query) => {
@@ -176,6 +197,7 @@
             }
             Message::Configuration(update) => {
                 apply_configuration(gateway, update.configuration.version, update.revision);
+                self.push_configuration(number);
                 None
             }
         };
@@ -203,6 +225,7 @@
         gateway.roster.set_store_unreachable(false);
         gateway.spread.record_success();
         node.next_read = self.now + STEP * 2;
+        let since = gateway.spread.revision().unwrap_or_default();
         let (written, version) = self.store.configuration();
         match need {
             Need::All => {
@@ -246,6 +269,8 @@
             Need::Nothing => {}
         }
         gateway.expire(now);
+        self.push_changes(number, since);
+        self.push_configuration(number);
     }
 
     fn send_messages(&mut self, number: usize) {
@@ -256,6 +281,7 @@
         let now = self.now.saturating_sub(node.started);
         let mut messages = Vec::new();
         if steps.is_multiple_of(BEAT_STEPS) {
+            let news = node.gateway.roster.news(now, &mut rng);
             let heartbeat = node
                 .gateway
                 .roster
@@ -264,7 +290,7 @@
             messages.extend(
                 targets
                     .into_iter()
-                    .map(|to| (to, Message::Heartbeat(heartbeat.clone()))),
+                    .map(|to| (to, Message::Heartbeat(heartbeat.clone(), news.clone()))),
             );
             node.gateway.expire(now);
             if let Some((query, asked)) = node.gateway.ask_settled(now, &mut rng) {
@@ -276,15 +302,53 @@
             }
         }
         let is_awaiting = node.gateway.spread.awaits_configuration();
-        let (readers, is_reader) = node.gateway.roster.readers(now);
-        if !is_reader && (steps.is_multiple_of(QUERY_STEPS) || is_awaiting) {
-            let query = node.gateway.spread.query(now);
-            let queries = readers.into_iter().filter_map(|to| Some((to, query?)));
-            messages.extend(queries.map(|(to, query)| (to, Message::Query(query))));
-        }
+        let is_due = steps.is_multiple_of(QUERY_STEPS);
         for (to, message) in messages {
             self.send(number, to, message);
         }
+        if is_due || is_awaiting {
+            self.query(number);
+        }
+    }
+
+    /// Queries the gateways that inform this one.
+    fn query(&mut self, number: usize) {
+        let node = &mut self.nodes[number];
+        let now = self.now.saturating_sub(node.started);
+        let informants = node.gateway.roster.informants(now);
+        if informants.is_empty() {
+            return;
+        }
+        let Some(query) = node.gateway.spread.query(now) else {
+            return;
+        };
+        for informant in informants {
+            self.send(number, informant, Message::Query(query));
+        }
+    }
+
+    fn push_changes(&mut self, number: usize, since: Revision) {
+        let node = &mut self.nodes[number];
+        let now = self.now.saturating_sub(node.started);
+        let pushed = node.gateway.changes_to_push(since, now);
+        self.push(number, pushed);
+    }
+
+    fn push_configuration(&mut self, number: usize) {
+        let node = &mut self.nodes[number];
+        let now = self.now.saturating_sub(node.started);
+        let pushed = node.gateway.configuration_to_push(now);
+        self.push(number, pushed);
+    }
+
+    fn push(&mut self, number: usize, pushed: Option<(Datagram, Vec<SocketAddr>)>) {
+        let Some((message, receivers)) = pushed else {
+            return;
+        };
+        let message = Message::from(message);
+        for receiver in receivers {
+            self.send(number, receiver, message.clone());
+        }
     }
 
     /// Records the gateways that serve with an older version than they may.
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -134,11 +134,11 @@
     shared.send(&Datagram::ConfigurationQuery(version), ahead);
 }
 
-/// Queries the readers of the store for changes, unless this gateway is one of them.
-fn query_readers(shared: &Shared, now: Monotonic) {
+/// Queries the gateways that inform this one for changes, unless it reads the store itself.
+pub(crate) fn query_readers(shared: &Shared, now: Monotonic) {
     let mut gateway = shared.gateway();
-    let (readers, is_reader) = gateway.roster.readers(now);
-    if is_reader {
+    let readers = gateway.roster.informants(now);
+    if readers.is_empty() {
         return;
     }
     let query = gateway.spread.query(now);
@@ -203,7 +203,10 @@
         }
         Datagram::Query(query) => {
             Feed(Rc::clone(shared)).note_generation(query.revision.generation);
-            shared.answer(query, from);
+            let replies = shared.gateway().answer_query(query, from, shared.now());
+            for reply in replies {
+                shared.send(&reply, from);
+            }
         }
         Datagram::ConfigurationQuery(version) => {
             let update = shared
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -11,9 +11,7 @@
 
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::Gateway;
-use auburnline_gateway::message::Datagram;
 use auburnline_gateway::route::ServiceId;
-use auburnline_gateway::spread::Query;
 use auburnline_gateway::spread::Revision;
 use auburnline_gateway::upstream;
 use auburnline_gateway::upstream::Upstream;
@@ -40,8 +38,6 @@
 
 /// Maximum size of a message to another process: enough for a configuration of some hundred routes, and within one UDP datagram.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 60 << 10;
-/// Time after its latest query for which a gateway is sent changes without asking.
-const SUBSCRIPTION_AGE: Duration = Duration::from_secs(3);
 
 /// State of one gateway process.
 pub(crate) struct Shared {
@@ -57,8 +53,6 @@
     pub(crate) source_wakeup: Notify,
     /// Wakes requests in flight when a rank has become a straggler.
     pub(crate) straggler_reported: Notify,
-    /// Gateways that queried this one for changes, with the time of the latest query.
-    subscribers: RefCell<HashMap<SocketAddr, Monotonic>>,
     /// Requests that wait for a reply from a limit's home, by the number of the [`Request`](auburnline_quota::home::Request).
     permits: RefCell<HashMap<u64, oneshot::Sender<Permit>>>,
     socket: OnceCell<Rc<UdpSocket>>,
@@ -77,7 +71,6 @@
             open: Cell::new(0),
             source_wakeup: Notify::new(),
             straggler_reported: Notify::new(),
-            subscribers: RefCell::default(),
             permits: RefCell::default(),
             socket: OnceCell::new(),
         }
@@ -115,39 +108,20 @@
         }
     }
 
-    /// Answers another gateway's query for changes.
-    pub(crate) fn answer(&self, query: Query, from: SocketAddr) {
-        let now = self.now();
-        self.subscribers.borrow_mut().insert(from, now);
-        let gateway = self.gateway();
-        let Some(age) = gateway.freshness.age(now) else {
-            return;
-        };
-        let answer = gateway.spread.answer(query, age);
-        let update = gateway.spread.requested_configuration(query).cloned();
-        drop(gateway);
-        // The changes go first: the configuration that is asked for is one of them.
-        if let Some(answer) = answer {
-            self.send(&Datagram::Answer(answer), from);
-        }
-        if let Some(update) = update {
-            self.send(&Datagram::Configuration(Box::new(update)), from);
+    /// Sends the changes after `since` to the gateways that query this one, without waiting for their next query.
+    pub(crate) fn push_changes(&self, since: Revision) {
+        let pushed = self.gateway().changes_to_push(since, self.now());
+        if let Some((message, receivers)) = pushed {
+            self.send_all(&[message], &receivers);
         }
     }
 
-    /// Sends the changes after `since` to the gateways that query this one, without waiting for their next query.
-    pub(crate) fn push_changes(&self, since: Revision) {
-        let now = self.now();
-        let mut subscribers = self.subscribers.borrow_mut();
-        subscribers.retain(|_, asked| now.saturating_sub(*asked) < SUBSCRIPTION_AGE);
-        let gateway = self.gateway();
-        let age = gateway.freshness.age(now).unwrap_or_default();
-        let Some(answer) = gateway.spread.changes_since(since, age) else {
-            return;
-        };
-        drop(gateway);
-        let subscribers: Vec<SocketAddr> = subscribers.keys().copied().collect();
-        self.send_all(&[Datagram::Answer(answer)], &subscribers);
+    /// Sends a new configuration to the gateways that have asked for it.
+    pub(crate) fn push_configuration(&self) {
+        let pushed = self.gateway().configuration_to_push(self.now());
+        if let Some((message, receivers)) = pushed {
+            self.send_all(&[message], &receivers);
+        }
     }
 
     /// Registers a request that waits for a reply from a limit's home; the receiver yields the reply.
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -21,6 +21,7 @@
 use auburnline_gateway::upstream::UpstreamId;
 use tokio::time::timeout;
 
+use crate::gossip;
 use crate::shared::Shared;
 use crate::shared::log_regained;
 use crate::telemetry::millis;
@@ -206,11 +207,23 @@
     /// Applies the answer of a gateway that reads the store.
     pub(crate) fn apply_answer(&self, answer: Answer) {
         self.note_generation(answer.until.generation);
-        let (new, known_at) = self.0.gateway().spread.apply_answer(answer);
+        let mut gateway = self.0.gateway();
+        let since = gateway.spread.revision().unwrap_or_default();
+        let was_awaiting = gateway.spread.awaits_configuration();
+        let (new, known_at) = gateway.spread.apply_answer(answer);
+        let is_awaiting = gateway.spread.awaits_configuration();
+        drop(gateway);
         if let Some(known_at) = known_at {
             self.record_known(known_at);
         }
+        let has_changes = !new.is_empty();
         self.apply(new);
+        if has_changes {
+            self.0.push_changes(since);
+        }
+        if is_awaiting && !was_awaiting {
+            gossip::query_readers(&self.0, self.now());
+        }
         self.0.source_wakeup.notify_one();
     }
 
@@ -267,6 +280,7 @@
         log::info!(target: "store", version, before:?, outcome; "configuration");
         metrics::counter!("auburnline_configuration_version").absolute(version);
         self.0.update_readiness();
+        self.0.push_configuration();
     }
 
     fn apply(&self, changes: Vec<spread::Change>) {
