--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -54,6 +54,10 @@
 /// others.
 const RETRY_DELAYS: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
 
+/// Shortest and longest delay before a gateway that the store does not answer tries it again while
+/// others read for it. Nothing depends on its success, and hundreds of gateways may be in this state.
+const PROBE_DELAYS: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(16));
+
 /// One change of the published state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
@@ -277,6 +281,14 @@
         shortest.saturating_mul(factor).min(longest)
     }
 
+    /// Returns the delay before the store is tried again while other gateways read for this one.
+    #[must_use]
+    pub fn probe_interval(&self) -> Duration {
+        let (shortest, longest) = PROBE_DELAYS;
+        let factor = 2_u32.saturating_pow(self.failures.saturating_sub(1));
+        shortest.saturating_mul(factor).min(longest)
+    }
+
     /// Records that the store no longer has the changes after the known revision.
     pub const fn require_full_read(&mut self) {
         self.revision = None;
--- a/crates/gateway/tests/all/restore/mod.rs
+++ b/crates/gateway/tests/all/restore/mod.rs
@@ -440,3 +440,47 @@
         expect_that!(world.violations, is_empty(), "{count} gateways");
     }
 }
+
+/// Guards against readers, and so calls to the store, that grow with the fleet.
+#[gtest]
+fn a_few_gateways_read_the_store_for_fleets_of_all_sizes() {
+    for count in [98, 340, 640] {
+        let mut world = World::start(count, 1);
+        world.run(Duration::from_secs(8));
+        for _ in 0..4 {
+            world.run(millis(500));
+            let readers = world.nodes.iter().filter(|node| {
+                let now = world.now.saturating_sub(node.started);
+                node.gateway.roster.role(now) == Role::Reader
+            });
+            expect_that!(readers.count(), le(4), "{count} gateways");
+        }
+        expect_that!(world.able(), eq(count), "{count} gateways");
+    }
+}
+
+/// Guards against gateways that serve by old knowledge because all readers of the fleet died.
+#[gtest]
+fn an_upstream_that_left_gets_nothing_though_all_readers_died_before() {
+    for (count, seeds) in FLEETS.into_iter().zip([6, 3, 1]) {
+        for seed in 1..=seeds {
+            let mut world = World::start(count, seed);
+            world.run(Duration::from_secs(4));
+            for number in 0..count {
+                let now = world.now.saturating_sub(world.nodes[number].started);
+                if world.nodes[number].gateway.roster.role(now) == Role::Reader && number > 0 {
+                    world.nodes[number].suspended_until = world.now + Duration::from_secs(9);
+                }
+            }
+            world.run(millis(200));
+            world.store.remove_upstream();
+            world.removed_at = Some(world.now);
+            world.run(Duration::from_secs(3));
+            expect_that!(
+                world.violations,
+                is_empty(),
+                "{count} gateways, seed {seed}"
+            );
+        }
+    }
+}
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -28,8 +28,6 @@
 
 /// Interval at which a source checks whether there is something to read.
 const NEED_POLL: Duration = Duration::from_millis(300);
-/// Interval at which a gateway that the store does not answer tries again, while others read for it.
-const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Reader of the state that a platform publishes.
 pub trait Source {
@@ -82,7 +80,7 @@
             if need != Need::Nothing {
                 return need;
             }
-            if waited >= PROBE_INTERVAL && self.0.gateway().roster.is_store_unreachable() {
+            if self.is_probe_due(waited) {
                 let revision = self.0.gateway().spread.revision();
                 return revision.map_or(Need::All, Need::Changes);
             }
@@ -91,6 +89,12 @@
         }
     }
 
+    /// Returns whether the store, which did not answer this gateway, should be tried again.
+    fn is_probe_due(&self, waited: Duration) -> bool {
+        let gateway = self.0.gateway();
+        gateway.roster.is_store_unreachable() && waited >= gateway.spread.probe_interval()
+    }
+
     /// Returns how long the next request may wait for changes, at most `longest`. After a failure it
     /// does not wait, since it would take long to fail again.
     #[must_use]
