A burst of changes as large as the fleet is passed on whole

Cause, read in the code and shown without network: a reader kept 256 changes and an answer holds 64, so a restart of 396 upstreams, some 800 changes, was either read anew by each gateway or asked for at 64 each 0.6 s; and an answer that was cut off at 64 confirmed that everything was known. Change: of several changes of an entry the last is kept; whoever gets a full answer asks again at once; pushes go out in as many messages as they need. A lead is told of up to 2,048 gateways (512).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -65,8 +65,9 @@
 /// gateways read for this one.
 const MAX_RELAYED_AGE: Duration = Duration::from_millis(2_500);
 
-/// Maximum number of gateways named to a sidecar, so that the message fits into one datagram.
-const MAX_GATEWAYS: usize = 512;
+/// Maximum number of gateways named to a sidecar. At eight bytes each, they fit into one datagram
+/// together with as many upstreams twice.
+const MAX_GATEWAYS: usize = 2_048;
 
 /// Bounds set by the platform's operators.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -31,9 +31,11 @@
 pub use revision::Generation;
 pub use revision::Revision;
 
-/// Changes that a reader keeps to answer queries: several seconds at the highest rate of change.
-const MAX_KEPT_CHANGES: usize = 256;
-/// Maximum changes in an answer, so that it fits into one datagram.
+/// Changes that are kept to answer queries. Of several changes of one entry only the last is kept,
+/// so a restart of 2,000 upstreams, with one entry removed and one added each, fits.
+const MAX_KEPT_CHANGES: usize = 4_096;
+/// Maximum changes in an answer, so that it fits into one datagram. Whoever gets that many asks for
+/// the next ones immediately.
 const MAX_ANSWER_CHANGES: usize = 64;
 /// Age of the local knowledge from which a gateway reads the store itself, reader or not: two
 /// periods of a watch plus a query, and well before API keys stop being trusted.
@@ -73,6 +75,26 @@
     Returned(FailureDomainId),
 }
 
+impl Change {
+    /// Returns what it is about; a later change with the same key replaces it.
+    fn key(&self) -> Key<'_> {
+        match self {
+            Change::Upstream(upstream) => Key::Upstream(&upstream.id),
+            Change::Removed(id) => Key::Upstream(id),
+            Change::Configuration => Key::Configuration,
+            Change::Evacuated(domain) | Change::Returned(domain) => Key::Evacuation(domain),
+        }
+    }
+}
+
+/// What a change is about.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Key<'a> {
+    Upstream(&'a str),
+    Configuration,
+    Evacuation(&'a str),
+}
+
 /// Request of a gateway for the changes since the revision it knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Query {
@@ -108,6 +130,14 @@
     pub changes: Vec<(Revision, Change)>,
 }
 
+impl Answer {
+    /// Returns whether the sender may have further changes, after these.
+    #[must_use]
+    pub fn is_truncated(&self) -> bool {
+        self.changes.len() >= MAX_ANSWER_CHANGES
+    }
+}
+
 /// What this gateway has to read from the store now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Need {
@@ -309,7 +339,7 @@
             if change == Change::Configuration {
                 self.heard = self.heard.max(revision);
             }
-            self.changes.push_back((revision, change.clone()));
+            self.keep(revision, change.clone());
             new.push(change);
         }
         while self.changes.len() > MAX_KEPT_CHANGES {
@@ -321,6 +351,13 @@
         new
     }
 
+    /// Keeps a change to answer queries, in place of an earlier one of the same entry.
+    fn keep(&mut self, revision: Revision, change: Change) {
+        let key = change.key();
+        self.changes.retain(|(_, kept)| kept.key() != key);
+        self.changes.push_back((revision, change));
+    }
+
     /// Returns what this gateway has to read. A gateway that is not a reader reads an announced
     /// configuration only if no other gateway sends it in time.
     pub fn need(&mut self, is_reader: bool, now: Monotonic) -> Need {
@@ -416,9 +453,11 @@
             self.unanswered_since = None;
         }
         let until = answer.until;
+        let is_truncated = answer.is_truncated();
         let new = self.take(answer.changes, until);
-        // A reader that knows less than this gateway confirms nothing.
-        let is_complete = until >= known && self.heard <= self.read;
+        // A reader that knows less than this gateway confirms nothing, nor does one that has more
+        // to tell.
+        let is_complete = !is_truncated && until >= known && self.heard <= self.read;
         let asked = asked.map(|(_, at)| at.saturating_sub(answer.age));
         (new, asked.filter(|_| is_complete))
     }
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -60,17 +60,25 @@
         answer.into_iter().chain(update).collect()
     }
 
-    /// Returns the changes after `since`, and the gateways to send them to.
+    /// Returns the changes after `since`, in as many messages as they need, and the gateways to send
+    /// them to.
     pub fn changes_to_push(
         &mut self,
-        since: Revision,
+        mut since: Revision,
         now: Monotonic,
-    ) -> Option<(Datagram, Vec<SocketAddr>)> {
+    ) -> (Vec<Datagram>, Vec<SocketAddr>) {
         self.subscribers.drop_outdated(now);
         let age = self.freshness.age(now).unwrap_or_default();
-        let answer = self.spread.changes_since(since, age)?;
-        let receivers = self.subscribers.0.keys().copied().collect();
-        Some((Datagram::Answer(answer), receivers))
+        let mut messages = Vec::new();
+        while let Some(answer) = self.spread.changes_since(since, age) {
+            let is_last = !answer.is_truncated();
+            since = answer.until;
+            messages.push(Datagram::Answer(answer));
+            if is_last {
+                break;
+            }
+        }
+        (messages, self.subscribers.0.keys().copied().collect())
     }
 
     /// Returns the newest configuration, and the gateways that asked for it before it was known
--- a/crates/gateway/tests/all/restore/world.rs
+++ b/crates/gateway/tests/all/restore/world.rs
@@ -168,6 +168,7 @@
                 gateway.spread.note_generation(answer.until.generation);
                 let since = gateway.spread.revision().unwrap_or_default();
                 let was_awaiting = gateway.spread.awaits_configuration();
+                let has_more = answer.number.is_some() && answer.is_truncated();
                 let (new, known_at) = gateway.spread.apply_answer(answer);
                 let is_awaiting = gateway.spread.awaits_configuration();
                 let has_changes = !new.is_empty();
@@ -178,7 +179,7 @@
                 if has_changes {
                     self.push_changes(number, since);
                 }
-                if is_awaiting && !was_awaiting {
+                if has_more || (is_awaiting && !was_awaiting) {
                     self.query(number);
                 }
                 None
@@ -330,8 +331,10 @@
     fn push_changes(&mut self, number: usize, since: Revision) {
         let node = &mut self.nodes[number];
         let now = self.now.saturating_sub(node.started);
-        let pushed = node.gateway.changes_to_push(since, now);
-        self.push(number, pushed);
+        let (messages, receivers) = node.gateway.changes_to_push(since, now);
+        for message in messages {
+            self.push(number, Some((message, receivers.clone())));
+        }
     }
 
     fn push_configuration(&mut self, number: usize) {
--- a/crates/gateway/tests/all/spread.rs
+++ b/crates/gateway/tests/all/spread.rs
@@ -310,3 +310,47 @@
     asker.apply_answer(answer);
     expect_that!(asker.is_unanswered(millis(9_000)), eq(false));
 }
+
+/// Applies the answers to queries of `asker` until one is complete; returns their number.
+fn catch_up(asker: &mut Spread, reader: &Spread) -> usize {
+    for answers in 1.. {
+        let query = asker.query(millis(1_000)).expect("a query");
+        let answer = reader.answer(query, millis(0)).expect("an answer");
+        let is_last = !answer.is_truncated();
+        let (_, known_at) = asker.apply_answer(answer);
+        assert_that!(known_at.is_some(), eq(is_last));
+        if is_last {
+            return answers;
+        }
+    }
+    0
+}
+
+/// Guards against gateways that read everything again, or trust an incomplete answer, because
+/// thousands of upstreams restarted at once and no answer holds all of that.
+#[gtest]
+fn a_restart_of_all_upstreams_is_caught_up_with_by_queries() {
+    const UPSTREAMS: u64 = 2_000;
+    let (mut reader, mut asker) = (spread(), spread());
+    for number in 0..UPSTREAMS {
+        let removed = Change::Removed(format!("old-{number}").as_str().into());
+        let added = change(&format!("new-{number}"));
+        let first = 11 + 2 * number;
+        let changes = vec![(at(first), removed), (at(first + 1), added)];
+        reader.take(changes, at(first + 1));
+    }
+    let answers = catch_up(&mut asker, &reader);
+    assert_that!(asker.revision(), eq(reader.revision()));
+    expect_that!(answers, le(70));
+}
+
+/// Guards against a history that gives out because a few entries change over and over.
+#[gtest]
+fn of_an_entry_that_changes_often_only_the_last_change_is_kept() {
+    let (mut reader, mut asker) = (spread(), spread());
+    for number in 11..20_000 {
+        reader.take(vec![(at(number), change("a"))], at(number));
+    }
+    assert_that!(catch_up(&mut asker, &reader), eq(1));
+    assert_that!(asker.revision(), eq(reader.revision()));
+}
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -110,8 +110,8 @@
 
     /// Sends the changes after `since` to the gateways that query this one, without waiting for their next query.
     pub(crate) fn push_changes(&self, since: Revision) {
-        let pushed = self.gateway().changes_to_push(since, self.now());
-        if let Some((message, receivers)) = pushed {
+        let (messages, receivers) = self.gateway().changes_to_push(since, self.now());
+        for message in messages {
             self.send_all(&[message], &receivers);
         }
     }
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -214,6 +214,7 @@
         let mut gateway = self.0.gateway();
         let since = gateway.spread.revision().unwrap_or_default();
         let was_awaiting = gateway.spread.awaits_configuration();
+        let has_more = answer.number.is_some() && answer.is_truncated();
         let (new, known_at) = gateway.spread.apply_answer(answer);
         let is_awaiting = gateway.spread.awaits_configuration();
         drop(gateway);
@@ -225,7 +226,7 @@
         if has_changes {
             self.0.push_changes(since);
         }
-        if is_awaiting && !was_awaiting {
+        if has_more || (is_awaiting && !was_awaiting) {
             gossip::query_readers(&self.0, self.now());
         }
         self.0.source_wakeup.notify_one();
