Requests wait for groups whose leaders have not reported yet after a start

Cause: after a loss of all power a gateway knows no group and takes unreported engines for one that serves. Change: until stall and forming are over, unreported ranks get nothing and requests wait; a gateway that starts among others gets the newest reports with the reply to its first heartbeat.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -78,6 +78,11 @@
         let (Some(engine), Some(longest)) = (plan.engine, plan.route.longest_pause) else {
             return Admission::Admit(None);
         };
+        if self.awaits_reports(&plan.service, now) {
+            // More groups are about to open, so the request may wait for their capacity.
+            self.all_unavailable_at
+                .insert(Arc::clone(&plan.service), now);
+        }
         let Some(headroom) = self.pick_group(&plan.service, &engine, longest, now) else {
             return self.await_reform(plan, &engine, now);
         };
@@ -207,6 +212,9 @@
             .values_mut()
             .filter(|traffic| traffic.report_age.is_none());
         unreported.for_each(|traffic| traffic.add_unreported(scale));
+        if self.awaits_reports(service, now) {
+            groups.remove(service);
+        }
         groups.retain(|group, _| !self.groups.is_unavailable(group, now));
         let is_stalled = |group: &GroupId| self.groups.is_stalled(group, now);
         if groups.keys().any(|group| !is_stalled(group)) {
@@ -215,6 +223,17 @@
         groups
     }
 
+    /// Returns whether the leaders of some of a service's groups have yet to report for the first
+    /// time since this gateway started. All processes may have started together with the engines,
+    /// whose groups reject requests until they have formed.
+    fn awaits_reports(&self, service: &str, now: Monotonic) -> bool {
+        let engine = self.engine(service);
+        let engine = engine.filter(|engine| engine.shape.is_some());
+        let is_starting = engine.is_some_and(|engine| now < self.bounds.stall + engine.form_time);
+        let mut members = self.pool.ready_members(service);
+        is_starting && members.any(|member| self.groups.of(member.upstream.address).is_none())
+    }
+
     /// Returns the number of other live gateways per gateway that reported its counts; 1 if all
     /// reported, or none.
     fn unreported_scale(&self, now: Monotonic) -> f64 {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::request::Refusal;
 use crate::request::Request;
 use crate::retry_budget;
+use crate::route;
 use crate::route::Route;
 use crate::route::ServiceId;
 use crate::route::Table;
@@ -386,6 +387,12 @@
             .map_or_else(|| Arc::from(""), |target| Arc::clone(&target.service))
     }
 
+    /// Returns the cost model of a service's engines, if it has one.
+    pub(crate) fn engine(&self, service: &str) -> Option<route::Engine> {
+        let table = self.table.as_ref()?;
+        table.service(service)?.engine
+    }
+
     /// Answers a sidecar's question which upstreams serve a service.
     #[must_use]
     pub fn members(&self, query: &MembersQuery, now: Monotonic) -> Members {
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -31,10 +31,17 @@
 const CORRELATED_BREAK_WINDOW: Duration = Duration::from_millis(100);
 const MAX_GROUPS: usize = 1_024;
 
-#[derive(Clone, Copy, Debug)]
+/// Age up to which a report is passed on to a gateway that has just started: two periods of a
+/// leader.
+const RELAYED_REPORT_MAX_AGE: Duration = Duration::from_millis(400);
+/// Most reports that are passed on to such a gateway.
+const MAX_RELAYED_REPORTS: usize = 16;
+
+#[derive(Clone, Debug)]
 struct State {
     is_open: bool,
     reported_at: Monotonic,
+    digest: Digest,
 }
 
 /// All groups that leaders reported to this gateway.
@@ -84,6 +91,7 @@
             State {
                 is_open,
                 reported_at,
+                digest: digest.clone(),
             },
         );
         self.by_address.retain(|_, of| *of != group);
@@ -93,6 +101,15 @@
         before.is_none_or(|before| before.is_open != is_open)
     }
 
+    /// Returns the newest reports, for a gateway that has just started.
+    pub fn recent_reports(&self, now: Monotonic) -> impl Iterator<Item = &Digest> {
+        let recent = self
+            .states
+            .values()
+            .filter(move |state| now.saturating_sub(state.reported_at) <= RELAYED_REPORT_MAX_AGE);
+        recent.map(|state| &state.digest).take(MAX_RELAYED_REPORTS)
+    }
+
     /// Returns the group of the upstream at `address`, if a leader reported one.
     #[must_use]
     pub fn of(&self, address: SocketAddr) -> Option<&GroupId> {
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -1,15 +1,20 @@
 //! Decisions based on the load that group leaders report.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use auburnline_gateway::Gateway;
 use auburnline_gateway::pace;
 use auburnline_gateway::pace::Load;
 use auburnline_gateway::report::Reports;
 use auburnline_gateway::request::Admission;
+use auburnline_gateway::route::Engine;
+use auburnline_gateway::route::Kind;
+use auburnline_gateway::route::Table;
 use auburnline_gateway::upstream::State;
 use auburnline_gateway::upstream::Upstream;
 use auburnline_gateway::upstream::tag;
+use auburnline_lockstep::layout::Shape;
 use auburnline_lockstep::message::Digest;
 use auburnline_lockstep::message::EngineLoad;
 use googletest::prelude::*;
@@ -23,6 +28,14 @@
 use crate::support::table;
 use crate::support::upstream;
 
+/// Dimensions of experts, which make a service's engines run in lock-step.
+const SHAPE: Shape = Shape {
+    layers: 3,
+    experts: 96,
+    places: 11,
+    most_new: 2,
+    copy: Duration::from_millis(10),
+};
 /// Gateways and ranks per group of the users' larger deployments.
 const GATEWAYS: u16 = 40;
 const RANKS: u16 = 24;
@@ -339,3 +352,68 @@
     let leaves = gateway.should_move(&plan, &rank, millis(1_000));
     assert_that!(leaves, eq(false));
 }
+
+fn waits() -> impl for<'a> Matcher<&'a Admission> {
+    matches_pattern!(Admission::Wait(anything()))
+}
+
+fn admitted() -> impl for<'a> Matcher<&'a Admission> {
+    matches_pattern!(Admission::Admit(anything()))
+}
+
+/// Returns a gateway that has just started, as all others and all engines have.
+fn started(groups: u16) -> Gateway {
+    let mut gateway = gateway(groups);
+    let mut configuration = support::configuration(
+        9,
+        vec![support::route(
+            "/draft/",
+            "model",
+            Kind::Stream { resumable: true },
+        )],
+    );
+    for service in &mut configuration.services {
+        service.engine = service.engine.map(|engine| Engine {
+            shape: Some(SHAPE),
+            ..engine
+        });
+    }
+    gateway.set_table(Table::new(configuration));
+    let _ = gateway.freshness.record_success(millis(0), millis(0));
+    gateway
+}
+
+/// Guards against refusals after a loss of all power: requests that are sent to groups which are
+/// still forming are rejected, and their callers have used up their retries.
+#[gtest]
+fn callers_that_come_back_after_a_loss_of_power_wait_for_their_groups_to_form() {
+    let mut gateway = started(6);
+    let first = ask(&mut gateway, "/draft/", Some("key-1"), 200).expect("a plan");
+    expect_that!(&gateway.admit(&first, millis(200)), waits());
+    // A leader that has not seen its ranks yet reports only its own one, and a closed group.
+    let mut forming = digest(0, 0);
+    forming.is_open = false;
+    forming.engines.truncate(1);
+    gateway.apply_digest(&forming, millis(300));
+    expect_that!(&gateway.admit(&first, millis(300)), waits());
+    let open = digest(0, 0);
+    gateway.apply_digest(&open, millis(1_100));
+    expect_that!(&gateway.admit(&first, millis(1_100)), admitted());
+    let choice = gateway.choose_within(None, &first, &[], &[], millis(1_100));
+    let upstream = choice.expect("an upstream").upstream.address;
+    expect_that!(
+        open.engines.iter().any(|load| load.engine == upstream),
+        eq(true)
+    );
+}
+
+/// Guards against waiting for leaders that don't exist.
+#[gtest]
+fn ranks_that_no_leader_reports_are_used_once_their_groups_must_have_formed() {
+    let mut gateway = started(6);
+    let _ = gateway
+        .freshness
+        .record_success(millis(2_000), millis(2_000));
+    let plan = ask(&mut gateway, "/draft/", Some("key-1"), 2_200).expect("a plan");
+    expect_that!(&gateway.admit(&plan, millis(2_200)), admitted());
+}
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -290,12 +290,17 @@
     }
 }
 
-/// Sends a gateway that has just started or reappeared the state of this one and of some others, so that it need not wait for
-/// their heartbeats.
+/// Sends a gateway that has just started or reappeared the state of this one, of some others and of the groups, so that it need
+/// not wait for their messages.
 fn send_join_reply(shared: &Shared, to: SocketAddr) {
     let now = shared.now();
     let gateway = shared.gateway();
     let heartbeat = gateway.join_reply(now, &mut SmallRng::from_os_rng());
+    let reports = gateway.groups.recent_reports(now).cloned();
+    let reports: Vec<Datagram> = reports.map(Datagram::Group).collect();
     drop(gateway);
     shared.send(&Datagram::JoinReply(heartbeat), to);
+    for report in reports {
+        shared.send(&report, to);
+    }
 }
