--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -66,6 +66,10 @@
 /// gateways read for this one.
 const MAX_RELAYED_AGE: Duration = Duration::from_millis(2_500);
 
+/// Time after its start within which a gateway learns of most others. Until then it has the state
+/// that it read at its start.
+const VIEW_TIME: Duration = Duration::from_secs(1);
+
 /// Maximum number of gateways named to a sidecar. At eight bytes each, they fit into one datagram
 /// together with as many upstreams twice.
 const MAX_GATEWAYS: usize = 2_048;
@@ -169,7 +173,11 @@
             allowances: HashMap::new(),
             all_unavailable_at: HashMap::new(),
             groups: Groups::default(),
-            budget: Budget::new(retry_budget::settings(&bounds, None)),
+            budget: Budget::new(retry_budget::settings(
+                &roster.own_entry().instance,
+                &bounds,
+                None,
+            )),
             rng: ChaCha8Rng::seed_from_u64(seed),
             pool: Pool::default(),
             roster,
@@ -278,8 +286,9 @@
     pub fn tick(&mut self, now: Monotonic) {
         let is_settled = now > crate::neighbour::NEWS_TIMEOUT;
         let fleet = is_settled.then_some(self.roster.peak_members());
+        let instance = &self.roster.own_entry().instance;
         self.budget
-            .set_settings(retry_budget::settings(&self.bounds, fleet));
+            .set_settings(retry_budget::settings(instance, &self.bounds, fleet));
         self.budget.tick(now);
         self.backoffs.forget(now);
     }
@@ -294,7 +303,8 @@
     /// Returns what this gateway has to read from the store now: as a reader, or if no reader keeps
     /// it informed.
     pub fn need(&mut self, now: Monotonic) -> Need {
-        let is_reader = self.roster.role(now) == Role::Reader;
+        // Right after its start a gateway knows too few others to tell the readers.
+        let is_reader = now >= VIEW_TIME && self.roster.role(now) == Role::Reader;
         let is_alone = spread::must_read_itself(self.freshness.age(now));
         let is_unanswered = self.spread.is_unanswered(now);
         self.spread
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -15,7 +15,9 @@
 use auburnline_gateway::upstream::State;
 use googletest::prelude::*;
 
+use crate::support;
 use crate::support::ENGINE;
+use crate::support::heartbeat;
 use crate::support::millis;
 use crate::support::table;
 use crate::support::upstream;
@@ -331,3 +333,34 @@
     gateway.tick(millis(1_000));
     assert_that!(gateway.take_retry(&plan, millis(1_000)), eq(false));
 }
+
+/// Guards against a fleet without retries because each gateway's share of the slack is less than
+/// one, and against shares that sum to more than the slack.
+#[gtest]
+fn a_fleet_of_any_size_may_use_its_retry_slack_and_no_more() {
+    for count in [6_u16, 98, 340, 1_300] {
+        let bounds = Bounds {
+            retry_slack: 600.0,
+            ..BOUNDS
+        };
+        let mut retries = 0;
+        for number in 0..count {
+            let roster = Roster::new(support::entry(number, 1, 0), Vec::new());
+            let mut gateway = Gateway::new("north".into(), bounds, roster, 1);
+            let mut from = heartbeat(support::entry(count, 1, 1));
+            from.members = count.into();
+            gateway.roster.receive(&from, millis(2_000));
+            gateway.set_table(table(3));
+            let _ = gateway
+                .freshness
+                .record_success(millis(2_000), millis(2_000));
+            gateway.tick(millis(2_000));
+            let plan = ask(&mut gateway, "/desk/", Some("key-1"), 2_000).expect("a plan");
+            while gateway.take_retry(&plan, millis(2_000)) {
+                retries += 1;
+            }
+        }
+        // Half of the slack, and the rest is refilled over the window.
+        expect_that!(retries, all![ge(200), le(300)], "{count} gateways");
+    }
+}
--- a/crates/retries/src/budget.rs
+++ b/crates/retries/src/budget.rs
@@ -69,7 +69,9 @@
         let gained = elapsed / settings.refill.as_nanos().max(1);
         if gained > 0 {
             self.add(settings, u64::try_from(gained).unwrap_or(u64::MAX));
-            self.refilled_at = now;
+            let used = gained * settings.refill.as_nanos() / u128::from(MILLITOKENS_PER_TOKEN);
+            // The rest counts at the next call, so that frequent calls gain as much as rare ones.
+            self.refilled_at += Duration::from_nanos(u64::try_from(used).unwrap_or(u64::MAX));
         }
     }
 
--- a/crates/retries/tests/retries.rs
+++ b/crates/retries/tests/retries.rs
@@ -225,3 +225,21 @@
     let hedged = (0..30).filter(|_| try_hedge(Duration::from_secs(2)).is_some());
     expect_that!(hedged.count(), eq(10));
 }
+
+/// Guards against a budget that loses a part of what is due at each call.
+#[gtest]
+fn a_budget_gains_as_much_however_often_it_is_looked_at() {
+    let settings = budget::Settings {
+        deposit_millitokens: 0,
+        reserve: 1,
+        refill: Duration::from_secs(9),
+    };
+    let mut budget = Budget::new(settings);
+    let mut retries = 0;
+    for call in 0..52_632 {
+        let now = Duration::from_millis(19 * call);
+        retries += u32::from(budget.withdraw(now, &1, &1).is_ok());
+    }
+    // 1,000 s, and the reserve; each retry is noticed up to 19 ms after it is due.
+    expect_that!(retries, all![ge(111), le(112)]);
+}
