Cold upstreams get no more requests a second than they bear from the whole fleet

Two ways: permits of the homes of shared limits, which deny everything for a second after a home died or all gateways started, so a fleet that starts with all upstreams cold would serve nothing; or a share that each gateway derives from the gateways that it knows. Entries and services have one more field, so gateways of this build and of the one before read each other's changes no more and ask the store instead.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -132,7 +132,7 @@
         denied: &[UpstreamId],
         now: Monotonic,
     ) -> Option<Refusal> {
-        if self.limits.is_idle() && self.backoffs.is_empty() {
+        if self.limits.is_idle() && self.backoffs.is_empty() && self.warm_ups.is_empty() {
             return None;
         }
         let mut first_open: Option<Monotonic> = None;
--- a/crates/gateway/src/assign.rs
+++ b/crates/gateway/src/assign.rs
@@ -112,6 +112,7 @@
             "request sent to an upstream that is leaving or asked for backoff"
         );
         self.pool.begin(&choice.upstream.id);
+        self.warm_ups.record_send(&choice.upstream, now);
         if is_first {
             self.budget.deposit(now, &plan.service, &plan.service);
         }
--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -67,18 +67,19 @@
         self.pool.is_ready(upstream) && self.backoffs.until(upstream, now).is_none()
     }
 
-    /// Returns whether a request may be sent to an upstream, as far as its rate limit and backoff
-    /// allow.
+    /// Returns whether a request may be sent to an upstream, as far as its rate limit, its backoff
+    /// and its warm-up allow.
     #[must_use]
     pub fn is_open(&self, upstream: &Upstream, now: Monotonic) -> bool {
         self.closed_until(upstream, now).is_none()
     }
 
-    /// Returns until when an upstream is not used because of its rate limit or backoff; none if it
-    /// is open.
+    /// Returns until when an upstream is not used because of its rate limit or backoff, or because
+    /// it is cold; none if it is open.
     pub(crate) fn closed_until(&self, upstream: &Upstream, now: Monotonic) -> Option<Monotonic> {
         let limited = self.limits.open_at(upstream, now);
-        limited.max(self.backoffs.until(upstream, now))
+        let cold = self.warm_ups.closed_until(upstream, now);
+        limited.max(self.backoffs.until(upstream, now)).max(cold)
     }
 
     /// Returns the upstreams of a service that asked this gateway to back off, at most `most`, with
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -51,6 +51,7 @@
 use crate::upstream::Pool;
 use crate::upstream::Upstream;
 use crate::version::Lag;
+use crate::warm_up::WarmUps;
 
 /// Retry time when no upstream accepts work: a group forms again within about a second.
 pub(crate) const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(800);
@@ -68,7 +69,7 @@
 
 /// Time after its start within which a gateway learns of most others. Until then it has the state
 /// that it read at its start.
-const VIEW_TIME: Duration = Duration::from_secs(1);
+pub(crate) const VIEW_TIME: Duration = Duration::from_secs(1);
 
 /// Maximum number of gateways named to a sidecar. At eight bytes each, they fit into one datagram
 /// together with as many upstreams twice.
@@ -155,6 +156,8 @@
     pub(crate) limits: Limits,
     /// Upstreams that asked this gateway for backoff.
     pub(crate) backoffs: Backoffs,
+    /// Upstreams that are cold.
+    pub(crate) warm_ups: WarmUps,
 }
 
 impl Gateway {
@@ -189,6 +192,7 @@
             quarantine: Quarantine::default(),
             limits: Limits::default(),
             backoffs: Backoffs::default(),
+            warm_ups: WarmUps::default(),
             bounds,
         }
     }
@@ -225,6 +229,9 @@
             upstreams,
             evacuations,
         } = listed;
+        for upstream in &upstreams {
+            self.record_warm_up(upstream, now);
+        }
         match self.spread.record_full_read(revision, configuration) {
             FullRead::Complete => (
                 self.pool.replace(upstreams, revision),
@@ -253,7 +260,10 @@
         let mut evacuations = Vec::new();
         for change in changes {
             match change {
-                spread::Change::Upstream(upstream) => upstreams.extend(self.pool.insert(upstream)),
+                spread::Change::Upstream(upstream) => {
+                    self.record_warm_up(&upstream, now);
+                    upstreams.extend(self.pool.insert(upstream));
+                }
                 spread::Change::Removed(id) => {
                     upstreams.extend(self.pool.mark_missing(&id, as_of));
                 }
@@ -281,8 +291,8 @@
         self.table.as_ref()
     }
 
-    /// Does periodic work: adjusts this gateway's share of the retry budget to the size of the
-    /// fleet, and drops expired backoffs.
+    /// Does periodic work: adjusts this gateway's shares of the retry budget and of the rates of cold
+    /// upstreams to the size of the fleet, and drops expired backoffs.
     pub fn tick(&mut self, now: Monotonic) {
         let is_settled = now > crate::neighbour::NEWS_TIMEOUT;
         let fleet = is_settled.then_some(self.roster.peak_members());
@@ -291,6 +301,7 @@
             .set_settings(retry_budget::settings(instance, &self.bounds, fleet));
         self.budget.tick(now);
         self.backoffs.forget(now);
+        self.refresh_warm_ups(now);
     }
 
     /// Returns whether this gateway has a configuration and knows that it is current enough to
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`quarantine`]: which requests crash the upstreams that run them
 //! - [`limit`]: the rate limits that upstreams announce
 //! - `backoff`: which upstreams have asked for backoff
+//! - `warm_up`: how often cold upstreams may be used
 //! - [`freshness`]: how old the known state may be
 //! - [`spread`]: which gateways read the store on behalf of others
 //! - `subscription`: which gateways are sent changes without asking
@@ -56,6 +57,7 @@
 mod subscription;
 pub mod upstream;
 mod version;
+mod warm_up;
 
 pub use gateway::Gateway;
 
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -520,6 +520,19 @@
             .collect()
     }
 
+    /// Returns this gateway's part of `rate` things per second that all known gateways share, dealt
+    /// one by one in an order that depends on `key`.
+    pub(crate) fn share(&self, rate: f64, key: &str) -> usize {
+        let others = self.others.keys();
+        let own = rendezvous(key, &self.own_entry.instance);
+        let ahead = others.filter(|other| rendezvous(key, other) > own).count();
+        let known = self.others.len() + 1;
+        // Gateways that are not known here take theirs too.
+        let fleet = known.max(self.peak_members);
+        let dealt = floor(rate);
+        dealt / fleet + usize::from(ahead < dealt % fleet)
+    }
+
     /// Returns the number of live gateways, including this one.
     #[must_use]
     pub fn live(&self, now: Monotonic) -> usize {
@@ -555,6 +568,15 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a published rate, saturating"
+)]
+const fn floor(rate: f64) -> usize {
+    rate.max(0.0) as usize
+}
+
 fn count(members: usize) -> u32 {
     u32::try_from(members).unwrap_or(u32::MAX)
 }
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -157,6 +157,9 @@
     pub name: ServiceId,
     /// Cost model; `None` if the service does not run on groups of ranks.
     pub engine: Option<Engine>,
+    /// Requests per second that a cold upstream of the service bears from all gateways together;
+    /// `None` if it bears any number.
+    pub warm_up_rate: Option<f64>,
 }
 
 /// Limits on the requests of callers.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -67,6 +67,9 @@
     /// Start time in Unix milliseconds, if the upstream reports it. It distinguishes restarts under
     /// the same id.
     pub born: Option<u64>,
+    /// Time for which it is still cold, as of the entry's last write.
+    #[serde(default)]
+    pub warm_up: Duration,
 }
 
 /// Outcome of a request to an upstream.
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -21,3 +21,4 @@
 mod support;
 mod upstream;
 mod version;
+mod warm_up;
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -61,6 +61,7 @@
     let service = |name: &str, engine| Service {
         name: name.into(),
         engine,
+        warm_up_rate: None,
     };
     let workspace = Workspace {
         name: "valley".into(),
@@ -98,6 +99,7 @@
         state,
         appeared: Revision::default(),
         born: None,
+        warm_up: Duration::ZERO,
     }
 }
 
