--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -69,7 +69,7 @@
 
 /// Time after its start within which a gateway learns of most others. Until then it has the state
 /// that it read at its start.
-pub(crate) const VIEW_TIME: Duration = Duration::from_secs(1);
+pub(crate) const VIEW_TIME: Duration = Duration::from_millis(500);
 
 /// Maximum number of gateways named to a sidecar. At eight bytes each, they fit into one datagram
 /// together with as many upstreams twice.
--- a/crates/lockstep/src/message.rs
+++ b/crates/lockstep/src/message.rs
@@ -63,6 +63,13 @@
     pub fn is_complete(&self) -> bool {
         self.shape.is_some() && !self.upstreams.is_empty()
     }
+
+    /// Returns whether to use this in place of what is known: a gateway that has not read everything yet must not hide
+    /// what another one said.
+    #[must_use]
+    pub fn replaces(&self, known: Option<&Members>) -> bool {
+        self.is_complete() || known.is_none_or(|known| !known.is_complete())
+    }
 }
 
 /// Load and slowdown of one engine of a group.
--- a/crates/sidecar/src/sidecar/receiving.rs
+++ b/crates/sidecar/src/sidecar/receiving.rs
@@ -40,7 +40,8 @@
         let now = self.clock.now();
         match message {
             Message::Members(members) => {
-                if members.service == self.settings.service {
+                let is_asked = members.service == self.settings.service;
+                if is_asked && members.replaces(self.members.as_ref()) {
                     if members.is_complete() {
                         self.query_schedule
                             .record_answer(members.gateways.len(), now);
