--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -319,6 +319,15 @@
         sums
     }
 
+    /// Returns this gateway's requests in flight in each evacuated failure domain.
+    pub fn in_flight_by_evacuated(&self) -> impl Iterator<Item = (&FailureDomainId, u32)> {
+        self.evacuations.iter().map(|(domain, _)| {
+            let members = self.members.values();
+            let members = members.filter(|member| member.upstream.failure_domain == *domain);
+            (domain, members.map(|member| member.in_flight).sum())
+        })
+    }
+
     pub(crate) fn usage<'a>(&self, member: &'a Member, now: Monotonic) -> Usage<'a> {
         let reported = self.reports.load(member.upstream.address, now);
         let from_neighbours = || self.neighbour_sums.get(&member.tag).copied().unwrap_or(0);
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -70,6 +70,7 @@
 fn tick(shared: &Shared, rng: &mut SmallRng) {
     shared.update_readiness();
     shared.export_revisions();
+    shared.export_evacuations();
     let changes = shared.expire();
     shared.upstreams_changed(changes);
     let now = shared.now();
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -225,6 +225,16 @@
         }
     }
 
+    /// Exports how many requests still run in evacuated failure domains.
+    pub(crate) fn export_evacuations(&self) {
+        let gateway = self.gateway();
+        for (domain, in_flight) in gateway.pool.in_flight_by_evacuated() {
+            let domain = domain.to_string();
+            metrics::gauge!("auburnline_evacuated_in_flight", "failure_domain" => domain)
+                .set(in_flight);
+        }
+    }
+
     /// Starts the shutdown: withdraws readiness and notifies connections.
     pub(crate) fn leave(&self) {
         if self.leaving_since.get().is_none() {
