--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -224,14 +224,27 @@
     }
 
     /// Returns whether the leaders of some of a service's groups have yet to report for the first
-    /// time since this gateway started. All processes may have started together with the engines,
-    /// whose groups reject requests until they have formed.
+    /// time since this gateway started, and most engines without a report started when it did, as
+    /// after a loss of power. Their groups reject requests until they have formed.
     fn awaits_reports(&self, service: &str, now: Monotonic) -> bool {
         let engine = self.engine(service);
-        let engine = engine.filter(|engine| engine.shape.is_some());
-        let is_starting = engine.is_some_and(|engine| now < self.bounds.stall + engine.form_time);
-        let mut members = self.pool.ready_members(service);
-        is_starting && members.any(|member| self.groups.of(member.upstream.address).is_none())
+        let Some(engine) = engine.filter(|engine| engine.shape.is_some()) else {
+            return false;
+        };
+        let forming = self.bounds.stall + engine.form_time;
+        if now >= forming {
+            return false;
+        }
+        let unreported = self.pool.ready_members(service);
+        let unreported =
+            unreported.filter(|member| self.groups.of(member.upstream.address).is_none());
+        let (mut recent, mut all) = (0_usize, 0_usize);
+        for member in unreported {
+            let born = member.upstream.born.map(Duration::from_millis);
+            all += 1;
+            recent += usize::from(born.is_some_and(|born| born + forming >= self.started));
+        }
+        2 * recent > all
     }
 
     /// Returns the number of other live gateways per gateway that reported its counts; 1 if all
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -127,6 +127,8 @@
 pub struct Gateway {
     pub(crate) failure_domain: FailureDomainId,
     pub(crate) bounds: Bounds,
+    /// Time of day of the process start, since the Unix epoch.
+    pub(crate) started: Duration,
     table: Option<Arc<Table>>,
     pub(crate) paces: HashMap<GroupId, Group>,
     pub(crate) allowances: HashMap<GroupId, Allowance>,
@@ -171,6 +173,7 @@
     ) -> Gateway {
         Gateway {
             failure_domain,
+            started: Duration::MAX,
             table: None,
             paces: HashMap::new(),
             allowances: HashMap::new(),
@@ -197,6 +200,12 @@
         }
     }
 
+    /// Sets the time of day of the process start, since the Unix epoch, by which upstreams that
+    /// started at the same time are recognized.
+    pub const fn set_start_time(&mut self, started: Duration) {
+        self.started = started;
+    }
+
     /// Replaces the operators' bounds.
     pub fn set_bounds(&mut self, bounds: Bounds) {
         self.freshness.set_bound(bounds.revocation);
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -361,9 +361,21 @@
     matches_pattern!(Admission::Admit(anything()))
 }
 
-/// Returns a gateway that has just started, as all others and all engines have.
-fn started(groups: u16) -> Gateway {
+/// Time of day at which the gateway of [`started`] starts, since the Unix epoch.
+const START: Duration = Duration::from_hours(500_000);
+
+/// Returns a gateway that has just started, whose engines started a time before it.
+fn started(groups: u16, before: Duration) -> Gateway {
     let mut gateway = gateway(groups);
+    gateway.set_start_time(START);
+    let born = u64::try_from(START.saturating_sub(before).as_millis()).ok();
+    let engines: Vec<_> = gateway.pool.iter().cloned().collect();
+    for engine in engines {
+        gateway.pool.insert(Upstream {
+            born,
+            ..Upstream::clone(&engine)
+        });
+    }
     let mut configuration = support::configuration(
         9,
         vec![support::route(
@@ -387,7 +399,7 @@
 /// still forming are rejected, and their callers have used up their retries.
 #[gtest]
 fn callers_that_come_back_after_a_loss_of_power_wait_for_their_groups_to_form() {
-    let mut gateway = started(6);
+    let mut gateway = started(6, millis(200));
     let first = ask(&mut gateway, "/draft/", Some("key-1"), 200).expect("a plan");
     expect_that!(&gateway.admit(&first, millis(200)), waits());
     // A leader that has not seen its ranks yet reports only its own one, and a closed group.
@@ -410,10 +422,19 @@
 /// Guards against waiting for leaders that don't exist.
 #[gtest]
 fn ranks_that_no_leader_reports_are_used_once_their_groups_must_have_formed() {
-    let mut gateway = started(6);
+    let mut gateway = started(6, millis(200));
     let _ = gateway
         .freshness
         .record_success(millis(2_000), millis(2_000));
     let plan = ask(&mut gateway, "/draft/", Some("key-1"), 2_200).expect("a plan");
     expect_that!(&gateway.admit(&plan, millis(2_200)), admitted());
 }
+
+/// Guards against requests that wait after all processes of the system were killed, although the
+/// engines have gone on.
+#[gtest]
+fn ranks_that_did_not_start_with_the_gateway_are_used_at_once() {
+    let mut gateway = started(6, Duration::from_secs(30));
+    let plan = ask(&mut gateway, "/draft/", Some("key-1"), 200).expect("a plan");
+    expect_that!(&gateway.admit(&plan, millis(200)), admitted());
+}
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -5,6 +5,8 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use auburnline_duty::metrics;
 use auburnline_duty::program;
@@ -79,7 +81,9 @@
     };
     let roster = Roster::new(entry, settings.seeds.clone());
     let domain = settings.failure_domain.as_str().into();
-    let gateway = Gateway::new(domain, settings.bounds(), roster, incarnation);
+    let mut gateway = Gateway::new(domain, settings.bounds(), roster, incarnation);
+    let started = SystemTime::now().duration_since(UNIX_EPOCH);
+    gateway.set_start_time(started.unwrap_or(Duration::MAX));
     let shared = Rc::new(Shared::new(clock, gateway, dialect));
     log::info!(
         target: "process",
