A gateway whose view of the fleet is forming reads the store for nobody

Change: in its first 3 s a gateway that knows less than three quarters of the members others report is no reader.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -324,7 +324,8 @@
     /// it informed.
     pub fn need(&mut self, now: Monotonic) -> Need {
         // Right after its start a gateway knows too few others to tell the readers.
-        let is_reader = now >= VIEW_TIME && self.roster.role(now) == Role::Reader;
+        let is_forming = now < VIEW_TIME || self.roster.is_view_forming(now);
+        let is_reader = !is_forming && self.roster.role(now) == Role::Reader;
         let is_alone = spread::must_read_itself(self.freshness.age(now));
         let is_unanswered = self.spread.is_unanswered(now);
         self.spread
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -60,6 +60,12 @@
 pub const MAX_COUNTS: usize = 64;
 /// Time without news after which a gateway is removed.
 const REMOVAL_TIMEOUT: Duration = Duration::from_mins(1);
+/// Longest time after its start for which a gateway's view of the fleet may be forming. After that
+/// the others that it does not know have failed or are cut off.
+const FORMING_TIME: Duration = Duration::from_secs(3);
+/// Part of the members that a formed view holds: three quarters.
+const FORMED_FACTOR: usize = 3;
+const FORMED_DIVISOR: usize = 4;
 /// Past incarnations that are remembered beyond as many as there are gateways.
 const MIN_PAST_TAGS: usize = 64;
 /// Number of the first heartbeat of a process.
@@ -549,6 +555,12 @@
         1 + others.filter(|known| known.is_member(now)).count()
     }
 
+    /// Returns whether this gateway started recently and knows clearly fewer others than there are,
+    /// by what these report.
+    pub(crate) fn is_view_forming(&self, now: Monotonic) -> bool {
+        now < FORMING_TIME && FORMED_DIVISOR * self.live(now) < FORMED_FACTOR * self.peak_members
+    }
+
     /// Returns the highest number of members seen at once. It is a safe divisor for shared
     /// quantities, since an isolated gateway can't tell whether the others have failed.
     #[must_use]
