Split membership by duty: peers and their timeouts, heartbeats, news, readers

Moves only, but for a gap of news that counts for 5 s at most, and evacuations that no longer keep when they were learned, which nothing used.

--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -12,7 +12,6 @@
 use std::collections::BTreeMap;
 
 use auburnline_core::id::FailureDomainId;
-use auburnline_core::time::Monotonic;
 
 use crate::spread::Revision;
 
@@ -25,8 +24,6 @@
 struct Record {
     written: Revision,
     is_evacuated: bool,
-    /// When this gateway learned of it.
-    learned: Monotonic,
 }
 
 /// Change of a failure domain, for the log.
@@ -57,11 +54,11 @@
         record.is_some_and(|record| record.is_evacuated)
     }
 
-    /// Returns the evacuated failure domains and when this gateway learned of each evacuation.
-    pub fn iter(&self) -> impl Iterator<Item = (&FailureDomainId, Monotonic)> {
+    /// Returns the evacuated failure domains.
+    pub fn iter(&self) -> impl Iterator<Item = &FailureDomainId> {
         let evacuated = self.records.iter();
         let evacuated = evacuated.filter(|(_, record)| record.is_evacuated);
-        evacuated.map(|(domain, record)| (domain, record.learned))
+        evacuated.map(|(domain, _)| domain)
     }
 
     /// Records that the evacuation of a failure domain was written or removed at a revision.
@@ -70,18 +67,15 @@
         failure_domain: FailureDomainId,
         is_evacuated: bool,
         written: Revision,
-        now: Monotonic,
     ) -> Option<Change> {
         let known = self.records.get(&failure_domain);
         if known.is_some_and(|known| known.written > written) {
             return None;
         }
         let was_evacuated = known.is_some_and(|known| known.is_evacuated);
-        let learned = known.filter(|_| was_evacuated && is_evacuated);
         let record = Record {
             written,
             is_evacuated,
-            learned: learned.map_or(now, |known| known.learned),
         };
         self.records.insert(failure_domain.clone(), record);
         if was_evacuated == is_evacuated {
@@ -105,7 +99,6 @@
         &mut self,
         listed: Vec<(FailureDomainId, Revision)>,
         as_of: Revision,
-        now: Monotonic,
     ) -> Vec<Change> {
         let unlisted = self.records.iter().filter(|(domain, record)| {
             record.is_evacuated && !listed.iter().any(|(listed, _)| listed == *domain)
@@ -113,10 +106,10 @@
         let unlisted: Vec<_> = unlisted.map(|(domain, _)| domain.clone()).collect();
         let mut changes = Vec::new();
         for domain in unlisted {
-            changes.extend(self.record(domain, false, as_of, now));
+            changes.extend(self.record(domain, false, as_of));
         }
         for (domain, written) in listed {
-            changes.extend(self.record(domain, true, written, now));
+            changes.extend(self.record(domain, true, written));
         }
         changes
     }
@@ -127,7 +120,6 @@
         &mut self,
         listed: Vec<(FailureDomainId, Revision)>,
         as_of: Revision,
-        now: Monotonic,
     ) -> Vec<Change> {
         let kept = self.records.iter();
         let kept = kept.filter(|(_, record)| record.written.number > as_of.number);
@@ -139,7 +131,7 @@
         let evacuated = kept.iter().filter(|(_, record)| record.is_evacuated);
         let evacuated = evacuated.map(|(domain, record)| (domain.clone(), record.written));
         let listed = listed.chain(evacuated).collect();
-        self.replace(listed, as_of, now)
+        self.replace(listed, as_of)
     }
 
     /// Drops the oldest ends of evacuations beyond [`MAX_REMEMBERED`].
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -244,14 +244,14 @@
         match self.spread.record_full_read(revision, configuration) {
             FullRead::Complete => (
                 self.pool.replace(upstreams, revision),
-                self.pool.evacuations.replace(evacuations, revision, now),
+                self.pool.evacuations.replace(evacuations, revision),
             ),
             FullRead::Restored => {
                 self.freshness.record_restore(now);
                 let until = now + self.bounds.heartbeat * EXPIRY_HEARTBEATS;
                 (
                     self.pool.restore(upstreams, revision, until),
-                    self.pool.evacuations.restore(evacuations, revision, now),
+                    self.pool.evacuations.restore(evacuations, revision),
                 )
             }
         }
@@ -278,10 +278,10 @@
                 }
                 spread::Change::Configuration => {}
                 spread::Change::Evacuated(domain) => {
-                    evacuations.extend(self.pool.evacuations.record(domain, true, as_of, now));
+                    evacuations.extend(self.pool.evacuations.record(domain, true, as_of));
                 }
                 spread::Change::Returned(domain) => {
-                    evacuations.extend(self.pool.evacuations.record(domain, false, as_of, now));
+                    evacuations.extend(self.pool.evacuations.record(domain, false, as_of));
                 }
             }
         }
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -3,9 +3,12 @@
 //! Each gateway sends a [`Heartbeat`] to a few others several times a second. It describes the
 //! sender and relays part of what the sender knows of others, and compact [`news`] of many more go
 //! with it, so that every gateway learns of all others without sending to all. A gateway without
-//! news for [`NEWS_TIMEOUT`] is no longer offered to callers; one that leaves announces it.
+//! news for [`NEWS_TIMEOUT`], or for longer in a fleet whose news come more rarely, is no longer
+//! offered to callers; one that leaves announces it.
 
+mod heartbeat;
 pub mod news;
+mod peer;
 pub mod reader;
 
 use std::collections::BTreeMap;
@@ -19,24 +22,19 @@
 use auburnline_membership::discovery;
 use auburnline_membership::discovery::Candidate;
 use auburnline_membership::discovery::Offer;
-use rand::Rng;
-use rand::seq::IteratorRandom as _;
 
+use self::peer::Gaps;
+use self::peer::Peer;
 use crate::message::Entry;
 use crate::message::Heartbeat;
 use crate::route::Version;
-use crate::upstream::Counts;
 
 /// Interval of heartbeats: several arrive within [`NEWS_TIMEOUT`], and the reported counts of
 /// requests in flight stay younger than the requests last.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(300);
-/// Time without news after which a gateway counts as failed: five heartbeats, since single ones get
-/// lost.
+/// Least time without news after which a gateway counts as failed: five heartbeats, since single
+/// ones get lost.
 pub const NEWS_TIMEOUT: Duration = Duration::from_millis(1_600);
-/// Mean gaps between two news of a gateway within which one of them is almost certain to arrive.
-const GAPS_PER_TIMEOUT: u32 = 5;
-/// Weight of one gap in the mean: a fleet of hundreds yields hundreds a second.
-const GAP_WEIGHT: f64 = 0.002;
 /// Time without news up to which a gateway may be the home of a limit. It exceeds [`NEWS_TIMEOUT`]
 /// because in a fleet of hundreds the latest news of a live gateway may be older, and all gateways
 /// have to agree on the home. Those that lend to the home hear from it directly.
@@ -44,18 +42,6 @@
 /// Time without news up to which a gateway counts towards the size of the fleet. In a fleet of
 /// hundreds nearly all news is younger.
 const MEMBER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Receivers of one heartbeat; bounded so that a gateway's cost does not grow with the fleet.
-const FANOUT: usize = 6;
-/// Those of them in the gateway's own failure domain, if there are as many. Traffic between failure
-/// domains costs more, and two links a gateway carry news between them fast enough.
-const LOCAL_FANOUT: usize = 4;
-/// Maximum other gateways that a heartbeat describes, so that it fits into one frame of a link.
-const MAX_RELAYED: usize = 12;
-/// Entries that a heartbeat describes at least, changed or not.
-const MIN_RELAYED: usize = 2;
-/// Time for which heartbeats describe a gateway after its state has changed; several of its
-/// receivers pass the change on meanwhile.
-const CHANGE_TIME: Duration = Duration::from_secs(2);
 /// Maximum upstreams for which a heartbeat reports counts.
 pub const MAX_COUNTS: usize = 64;
 /// Time without news after which a gateway is removed.
@@ -70,8 +56,6 @@
 const MIN_PAST_TAGS: usize = 64;
 /// Number of the first heartbeat of a process.
 const FIRST_HEARTBEAT: u64 = 1;
-/// Heartbeats between two that also go to the seeds, which may have been down before.
-const SEED_HEARTBEATS: u64 = 6;
 
 /// The gateway that grants permits for an upstream with a rate limit.
 #[derive(Clone, Copy, Debug)]
@@ -82,68 +66,6 @@
     pub(crate) heard: Monotonic,
 }
 
-#[derive(Clone, Debug)]
-struct Peer {
-    /// Its state as last described in full.
-    entry: Entry,
-    /// Identifies its incarnation in [`news`].
-    tag: news::Tag,
-    /// Hash of the state in `entry`.
-    state: u8,
-    /// Number of its latest known heartbeat, which may be later than that of `entry`.
-    heartbeats: u64,
-    /// When news of that heartbeat arrived.
-    heard: Monotonic,
-    /// When its incarnation or the state in `entry` changed, as far as known here.
-    changed: Monotonic,
-    /// When its last own message arrived, as opposed to news relayed by others.
-    heard_directly: Option<Monotonic>,
-}
-
-impl Peer {
-    fn new(entry: Entry, heard: Monotonic) -> Peer {
-        Peer {
-            tag: news::tag(&entry),
-            state: news::state(&entry),
-            heartbeats: entry.heartbeats,
-            entry,
-            heard,
-            changed: heard,
-            heard_directly: None,
-        }
-    }
-
-    /// Records a later heartbeat; returns the time since the news before it.
-    fn advance(&mut self, heartbeats: u64, now: Monotonic) -> Duration {
-        let gap = now.saturating_sub(self.heard);
-        self.heartbeats = heartbeats;
-        self.heard = now;
-        gap
-    }
-
-    fn is_member(&self, now: Monotonic) -> bool {
-        now.saturating_sub(self.heard) < MEMBER_TIMEOUT
-    }
-}
-
-/// Mean time between two news of a gateway. It grows with the fleet, because the number of news that
-/// a gateway gets per second does not.
-#[derive(Clone, Copy, Debug, Default)]
-struct Gaps {
-    mean: Duration,
-}
-
-impl Gaps {
-    fn add(&mut self, gap: Duration) {
-        self.mean = self.mean.mul_f64(1.0 - GAP_WEIGHT) + gap.mul_f64(GAP_WEIGHT);
-    }
-
-    /// Returns the time without news after which a gateway counts as failed.
-    fn timeout(self) -> Duration {
-        (self.mean * GAPS_PER_TIMEOUT).clamp(NEWS_TIMEOUT, MEMBER_TIMEOUT)
-    }
-}
-
 /// Change of another gateway's state, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Update {
@@ -398,120 +320,6 @@
         }
     }
 
-    /// Creates the next heartbeat, and removes gateways without news for a long time.
-    pub fn next_heartbeat(
-        &mut self,
-        counts: Counts,
-        now: Monotonic,
-        rng: &mut impl Rng,
-    ) -> Heartbeat {
-        self.own_entry.heartbeats += 1;
-        self.forget_silent(now);
-        Heartbeat {
-            from: self.own_entry.clone(),
-            counts,
-            others: self.relayed(now, rng),
-            members: count(self.members(now)),
-        }
-    }
-
-    /// Returns the entries of some live gateways: those that have just changed, and a few others.
-    fn relayed(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<Entry> {
-        let live = self
-            .others
-            .values()
-            .filter(|known| self.is_alive(known, now));
-        let (changed, same): (Vec<&Peer>, Vec<&Peer>) =
-            live.partition(|known| now.saturating_sub(known.changed) < CHANGE_TIME);
-        let changed = changed.into_iter().choose_multiple(rng, MAX_RELAYED);
-        let more = MIN_RELAYED.saturating_sub(changed.len());
-        let same = same.into_iter().choose_multiple(rng, more);
-        let relayed = changed.into_iter().chain(same);
-        relayed.map(|known| known.entry.clone()).collect()
-    }
-
-    /// Returns the last heartbeat without gossip about others, for a gateway that lends to this
-    /// one.
-    #[must_use]
-    pub fn own_heartbeat(&self, counts: Counts, now: Monotonic) -> Heartbeat {
-        Heartbeat {
-            from: self.own_entry.clone(),
-            counts,
-            others: Vec::new(),
-            members: count(self.members(now)),
-        }
-    }
-
-    /// Returns the last heartbeat with gossip about some others, for a gateway that started or came
-    /// back.
-    pub(crate) fn join_reply(&self, now: Monotonic, rng: &mut impl Rng) -> Heartbeat {
-        let live = self
-            .others
-            .values()
-            .filter(|known| self.is_alive(known, now));
-        let relayed = live.choose_multiple(rng, MAX_RELAYED);
-        Heartbeat {
-            others: relayed
-                .into_iter()
-                .map(|known| known.entry.clone())
-                .collect(),
-            ..self.own_heartbeat(Counts::new(), now)
-        }
-    }
-
-    /// Returns the addresses to send the next heartbeat to.
-    pub fn targets(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<SocketAddr> {
-        let mut targets = self.sample_near(now, rng);
-        let is_isolated = targets.len() < FANOUT / 2;
-        if is_isolated || self.own_entry.heartbeats.is_multiple_of(SEED_HEARTBEATS) {
-            targets.extend(
-                self.seeds
-                    .iter()
-                    .filter(|seed| **seed != self.own_entry.peers),
-            );
-        }
-        if is_isolated {
-            // After a network partition the seeds may be gone while other known gateways are
-            // reachable.
-            let known = self.others.values().map(|known| known.entry.peers);
-            targets.extend(known.choose_multiple(rng, FANOUT));
-        }
-        targets.sort_unstable();
-        targets.dedup();
-        targets
-    }
-
-    /// Returns the peer addresses of [`FANOUT`] other live gateways, most of them in the own failure
-    /// domain.
-    fn sample_near(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<SocketAddr> {
-        let live = self
-            .others
-            .values()
-            .filter(|known| self.is_alive(known, now));
-        let (near, far): (Vec<&Peer>, Vec<&Peer>) =
-            live.partition(|known| known.entry.failure_domain == self.own_entry.failure_domain);
-        let far_count = far.len().min(FANOUT - LOCAL_FANOUT.min(near.len()));
-        let near = near.into_iter().choose_multiple(rng, FANOUT - far_count);
-        let far = far.into_iter().choose_multiple(rng, far_count);
-        let targets = near.into_iter().chain(far);
-        targets.map(|known| known.entry.peers).collect()
-    }
-
-    /// Returns the peer addresses of other live gateways, at most `most`, selected at random.
-    pub(crate) fn sample(
-        &self,
-        most: usize,
-        now: Monotonic,
-        rng: &mut impl Rng,
-    ) -> Vec<SocketAddr> {
-        let live = self
-            .others
-            .values()
-            .filter(|known| self.is_alive(known, now));
-        let addresses = live.map(|known| known.entry.peers);
-        addresses.choose_multiple(rng, most)
-    }
-
     /// Returns the peer addresses of this gateway and of live others, at most `most`.
     #[must_use]
     pub fn addresses(&self, now: Monotonic, most: usize) -> Vec<SocketAddr> {
--- a/crates/gateway/src/neighbour/news.rs
+++ b/crates/gateway/src/neighbour/news.rs
@@ -14,9 +14,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::Peer;
 use super::Roster;
 use super::Update;
+use super::peer::Peer;
 use crate::message::Entry;
 
 /// Most records that go out with one heartbeat, so that these fit into one frame of a link.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -321,7 +321,7 @@
 
     /// Returns this gateway's requests in flight in each evacuated failure domain.
     pub fn in_flight_by_evacuated(&self) -> impl Iterator<Item = (&FailureDomainId, u32)> {
-        self.evacuations.iter().map(|(domain, _)| {
+        self.evacuations.iter().map(|domain| {
             let members = self.members.values();
             let members = members.filter(|member| member.upstream.failure_domain == *domain);
             (domain, members.map(|member| member.in_flight).sum())
--- a/crates/gateway/tests/all/evacuation.rs
+++ b/crates/gateway/tests/all/evacuation.rs
@@ -75,18 +75,15 @@
 #[gtest]
 fn an_older_write_changes_nothing() {
     let mut evacuations = Evacuations::default();
-    evacuations.record("north".into(), true, revision(10), NOW);
-    evacuations.record("north".into(), false, revision(12), NOW);
+    evacuations.record("north".into(), true, revision(10));
+    evacuations.record("north".into(), false, revision(12));
     expect_that!(
-        evacuations.record("north".into(), true, revision(10), NOW),
+        evacuations.record("north".into(), true, revision(10)),
         none()
     );
     expect_that!(evacuations.contains("north"), eq(false));
-    evacuations.record("north".into(), true, revision(14), NOW);
-    expect_that!(
-        evacuations.replace(Vec::new(), revision(13), NOW),
-        is_empty()
-    );
+    evacuations.record("north".into(), true, revision(14));
+    expect_that!(evacuations.replace(Vec::new(), revision(13)), is_empty());
     expect_that!(evacuations.contains("north"), eq(true));
 }
 
@@ -98,21 +95,21 @@
         number,
     };
     let mut evacuations = Evacuations::default();
-    evacuations.record("lost".into(), true, revision(20), NOW);
-    evacuations.record("ended".into(), true, revision(5), NOW);
-    evacuations.record("ended".into(), false, revision(21), NOW);
-    evacuations.record("old".into(), true, revision(4), NOW);
+    evacuations.record("lost".into(), true, revision(20));
+    evacuations.record("ended".into(), true, revision(5));
+    evacuations.record("ended".into(), false, revision(21));
+    evacuations.record("old".into(), true, revision(4));
     let listed = vec![
         ("ended".into(), restored(5)),
         ("old".into(), restored(4)),
         ("unknown".into(), restored(6)),
     ];
-    evacuations.restore(listed, restored(10), NOW);
-    let evacuated: Vec<_> = evacuations.iter().map(|(domain, _)| &**domain).collect();
+    evacuations.restore(listed, restored(10));
+    let evacuated: Vec<_> = evacuations.iter().map(|domain| &**domain).collect();
     expect_that!(
         evacuated,
         elements_are![eq(&"lost"), eq(&"old"), eq(&"unknown")]
     );
-    evacuations.record("lost".into(), false, restored(11), NOW);
+    evacuations.record("lost".into(), false, restored(11));
     expect_that!(evacuations.contains("lost"), eq(false));
 }
