Of several full answers to a query only the first asks for the next changes

Cause, read in the diff: both relays answer each query, and each full answer asked both again, so queries doubled with each round trip of a catch-up of more than 64 changes.

--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -435,6 +435,14 @@
         })
     }
 
+    /// Returns whether the next query is due at once because an answer was full. Several gateways
+    /// answer a query, of which only the first one counts.
+    #[must_use]
+    pub fn has_more(&self, answer: &Answer) -> bool {
+        let last = self.asked.map(|(number, _)| number);
+        answer.is_truncated() && last.is_some() && answer.number == last
+    }
+
     /// Applies the answer of a reader. Returns the new changes and, if it confirms that everything
     /// up to now is known, the time as of which it does.
     pub fn apply_answer(&mut self, answer: Answer) -> (Vec<Change>, Option<Monotonic>) {
--- a/crates/gateway/tests/all/restore/world.rs
+++ b/crates/gateway/tests/all/restore/world.rs
@@ -168,7 +168,7 @@
                 gateway.spread.note_generation(answer.until.generation);
                 let since = gateway.spread.revision().unwrap_or_default();
                 let was_awaiting = gateway.spread.awaits_configuration();
-                let has_more = answer.number.is_some() && answer.is_truncated();
+                let has_more = gateway.spread.has_more(&answer);
                 let (new, known_at) = gateway.spread.apply_answer(answer);
                 let is_awaiting = gateway.spread.awaits_configuration();
                 let has_changes = !new.is_empty();
--- a/crates/gateway/tests/all/spread.rs
+++ b/crates/gateway/tests/all/spread.rs
@@ -354,3 +354,23 @@
     assert_that!(catch_up(&mut asker, &reader), eq(1));
     assert_that!(asker.revision(), eq(reader.revision()));
 }
+
+/// Guards against queries that double with each round because all relays answer each of them.
+#[gtest]
+fn of_several_full_answers_to_a_query_only_the_first_asks_for_more() {
+    let (mut reader, mut asker) = (spread(), spread());
+    for number in 0..1_000 {
+        reader.take(
+            vec![(at(11 + number), change(&format!("u-{number}")))],
+            at(11 + number),
+        );
+    }
+    let query = asker.query(millis(1_000)).expect("a query");
+    let answer = reader.answer(query, millis(0)).expect("an answer");
+    expect_that!(asker.has_more(&answer), eq(true));
+    asker.apply_answer(answer.clone());
+    asker.query(millis(1_001)).expect("a query");
+    expect_that!(asker.has_more(&answer), eq(false));
+    let unsolicited = reader.changes_since(at(10), millis(0)).expect("an answer");
+    expect_that!(asker.has_more(&unsolicited), eq(false));
+}
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -214,7 +214,7 @@
         let mut gateway = self.0.gateway();
         let since = gateway.spread.revision().unwrap_or_default();
         let was_awaiting = gateway.spread.awaits_configuration();
-        let has_more = answer.number.is_some() && answer.is_truncated();
+        let has_more = gateway.spread.has_more(&answer);
         let (new, known_at) = gateway.spread.apply_answer(answer);
         let is_awaiting = gateway.spread.awaits_configuration();
         drop(gateway);
