--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -65,7 +65,7 @@
 
 /// Age of the known state up to which a failed call does not count as a loss of the store: other
 /// gateways read for this one.
-const MAX_RELAYED_AGE: Duration = Duration::from_millis(2_500);
+const MAX_RELAYED_AGE: Duration = Duration::from_millis(2_800);
 
 /// Time after its start within which a gateway learns of most others. Until then it has the state
 /// that it read at its start.
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -38,8 +38,9 @@
 /// the next ones immediately.
 const MAX_ANSWER_CHANGES: usize = 64;
 /// Age of the local knowledge from which a gateway reads the store itself, reader or not: two
-/// periods of a watch plus a query, and well before API keys stop being trusted.
-const SELF_READ_AGE: Duration = Duration::from_millis(2_800);
+/// periods of a watch, a relay's query, a follower's and some time for the messages, and well before
+/// API keys stop being trusted.
+const SELF_READ_AGE: Duration = Duration::from_millis(3_100);
 
 /// Time without an answer from any reader after which a gateway reads the store itself: longer than
 /// it takes until a query is repeated.
--- a/crates/gateway/tests/all/restore/mod.rs
+++ b/crates/gateway/tests/all/restore/mod.rs
@@ -195,6 +195,10 @@
     /// When the evacuation was removed, unless another one is in force.
     returned_at: Option<Duration>,
     violations: Vec<String>,
+    /// Time for which each read of changes waits, so that its result is that old.
+    poll: Duration,
+    /// Reads by gateways that are not readers.
+    extra_reads: usize,
 }
 
 fn apply_configuration(gateway: &mut Gateway, version: Version, written: Revision) {
@@ -484,3 +488,19 @@
         }
     }
 }
+
+/// Guards against followers that read the store themselves because what they know grew too old on
+/// its way over a reader and a relay.
+#[gtest]
+fn followers_need_not_read_the_store_themselves() {
+    for count in [98, 340] {
+        let mut world = World::start(count, 1);
+        world.run(Duration::from_secs(6));
+        world.poll = Duration::from_secs(1);
+        world.run(Duration::from_secs(2));
+        world.extra_reads = 0;
+        world.run(Duration::from_secs(10));
+        expect_that!(world.extra_reads, le(count / 30), "{count} gateways");
+        expect_that!(world.able(), eq(count), "{count} gateways");
+    }
+}
--- a/crates/gateway/tests/all/restore/world.rs
+++ b/crates/gateway/tests/all/restore/world.rs
@@ -8,6 +8,7 @@
 use auburnline_gateway::message::Datagram;
 use auburnline_gateway::message::Entry;
 use auburnline_gateway::neighbour::Roster;
+use auburnline_gateway::neighbour::reader::Role;
 use auburnline_gateway::route::Version;
 use auburnline_gateway::spread::Change;
 use auburnline_gateway::spread::Need;
@@ -51,6 +52,8 @@
             evacuated_at: None,
             returned_at: None,
             violations: Vec::new(),
+            poll: Duration::ZERO,
+            extra_reads: 0,
         };
         world.write(3);
         for number in 0..count {
@@ -225,7 +228,8 @@
         }
         gateway.roster.set_store_unreachable(false);
         gateway.spread.record_success();
-        node.next_read = self.now + STEP * 2;
+        node.next_read = self.now + self.poll.max(STEP * 2);
+        self.extra_reads += usize::from(gateway.roster.role(now) != Role::Reader);
         let since = gateway.spread.revision().unwrap_or_default();
         let (written, version) = self.store.configuration();
         match need {
@@ -265,7 +269,7 @@
                 changes.sort_by_key(|(at, _)| *at);
                 let new = gateway.spread.take(changes, self.store.revision());
                 gateway.apply_changes(new, now);
-                gateway.confirm(now, now);
+                gateway.confirm(now.saturating_sub(self.poll), now);
             }
             Need::Nothing => {}
         }
@@ -303,7 +307,8 @@
             }
         }
         let is_awaiting = node.gateway.spread.awaits_configuration();
-        let is_due = steps.is_multiple_of(QUERY_STEPS);
+        let is_relay = node.gateway.roster.role(now) == Role::Relay;
+        let is_due = steps.is_multiple_of(if is_relay { BEAT_STEPS } else { QUERY_STEPS });
         for (to, message) in messages {
             self.send(number, to, message);
         }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -11,6 +11,7 @@
 use auburnline_gateway::neighbour::HEARTBEAT_PERIOD;
 use auburnline_gateway::neighbour::MAX_COUNTS;
 use auburnline_gateway::neighbour::Update;
+use auburnline_gateway::neighbour::reader::Role;
 use auburnline_gateway::route::ServiceId;
 use auburnline_gateway::settled;
 use auburnline_gateway::spread::Query;
@@ -33,7 +34,7 @@
 /// Time between two ticks beyond which this process is considered to have been suspended.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_secs(1);
 
-/// Heartbeats between two queries to the readers of the store: 0.6 s, so that the state known stays some seconds
+/// Heartbeats between two queries of a follower: 0.6 s, so that the state known stays some seconds
 /// younger than the revocation bound, and removals are known well within the draining bound.
 const HEARTBEATS_PER_QUERY: u64 = 2;
 
@@ -97,7 +98,9 @@
     ask_settled(shared, now, rng);
     request_newer_configuration(shared, now);
     let is_awaiting = shared.gateway().spread.awaits_configuration();
-    if is_awaiting || heartbeats.is_multiple_of(HEARTBEATS_PER_QUERY) {
+    // What a relay knows ages further on its way to the others.
+    let is_relay = shared.gateway().roster.role(now) == Role::Relay;
+    if is_awaiting || is_relay || heartbeats.is_multiple_of(HEARTBEATS_PER_QUERY) {
         query_readers(shared, now);
     }
 }
