--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -78,7 +78,7 @@
     /// it is cold; none if it is open.
     pub(crate) fn closed_until(&self, upstream: &Upstream, now: Monotonic) -> Option<Monotonic> {
         let limited = self.limits.open_at(upstream, now);
-        let cold = self.warm_ups.closed_until(upstream, now);
+        let cold = self.cold_until(upstream, now);
         limited.max(self.backoffs.until(upstream, now)).max(cold)
     }
 
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -15,8 +15,7 @@
 
 use crate::spread::Revision;
 
-/// Most failure domains that are remembered; a domain beyond that is evacuated, but its end is not
-/// remembered.
+/// Failure domains beyond which the oldest ended evacuations are forgotten.
 const MAX_REMEMBERED: usize = 1_024;
 
 /// Last write about a failure domain.
@@ -37,26 +36,19 @@
 
 /// All failure domains that are or were evacuated.
 #[derive(Clone, Debug, Default)]
-pub struct Evacuations {
-    records: BTreeMap<FailureDomainId, Record>,
-    /// Number of evacuated failure domains.
-    evacuated: usize,
-}
+pub struct Evacuations(BTreeMap<FailureDomainId, Record>);
 
 impl Evacuations {
     /// Returns whether a failure domain is evacuated.
     #[must_use]
     pub fn contains(&self, failure_domain: &str) -> bool {
-        if self.evacuated == 0 {
-            return false;
-        }
-        let record = self.records.get(failure_domain);
+        let record = self.0.get(failure_domain);
         record.is_some_and(|record| record.is_evacuated)
     }
 
     /// Returns the evacuated failure domains.
     pub fn iter(&self) -> impl Iterator<Item = &FailureDomainId> {
-        let evacuated = self.records.iter();
+        let evacuated = self.0.iter();
         let evacuated = evacuated.filter(|(_, record)| record.is_evacuated);
         evacuated.map(|(domain, _)| domain)
     }
@@ -68,7 +60,7 @@
         is_evacuated: bool,
         written: Revision,
     ) -> Option<Change> {
-        let known = self.records.get(&failure_domain);
+        let known = self.0.get(&failure_domain);
         if known.is_some_and(|known| known.written > written) {
             return None;
         }
@@ -77,16 +69,11 @@
             written,
             is_evacuated,
         };
-        self.records.insert(failure_domain.clone(), record);
+        self.0.insert(failure_domain.clone(), record);
         if was_evacuated == is_evacuated {
             return None;
         }
-        if is_evacuated {
-            self.evacuated += 1;
-        } else {
-            self.evacuated -= 1;
-            self.forget_ended();
-        }
+        self.forget_ended();
         Some(Change {
             failure_domain,
             is_evacuated,
@@ -100,7 +87,7 @@
         listed: Vec<(FailureDomainId, Revision)>,
         as_of: Revision,
     ) -> Vec<Change> {
-        let unlisted = self.records.iter().filter(|(domain, record)| {
+        let unlisted = self.0.iter().filter(|(domain, record)| {
             record.is_evacuated && !listed.iter().any(|(listed, _)| listed == *domain)
         });
         let unlisted: Vec<_> = unlisted.map(|(domain, _)| domain.clone()).collect();
@@ -121,7 +108,7 @@
         listed: Vec<(FailureDomainId, Revision)>,
         as_of: Revision,
     ) -> Vec<Change> {
-        let kept = self.records.iter();
+        let kept = self.0.iter();
         let kept = kept.filter(|(_, record)| record.written.number > as_of.number);
         let kept: BTreeMap<_, _> = kept
             .map(|(domain, record)| (domain.clone(), *record))
@@ -136,14 +123,14 @@
 
     /// Drops the oldest ends of evacuations beyond [`MAX_REMEMBERED`].
     fn forget_ended(&mut self) {
-        while self.records.len() > MAX_REMEMBERED {
-            let ended = self.records.iter();
+        while self.0.len() > MAX_REMEMBERED {
+            let ended = self.0.iter();
             let ended = ended.filter(|(_, record)| !record.is_evacuated);
             let oldest = ended.min_by_key(|(_, record)| record.written);
             let Some(oldest) = oldest.map(|(domain, _)| domain.clone()) else {
                 return;
             };
-            self.records.remove(&oldest);
+            self.0.remove(&oldest);
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,12 +23,10 @@
 
 use crate::allowance::Allowance;
 use crate::backoff::Backoffs;
-use crate::evacuation;
 use crate::freshness::Freshness;
 use crate::group::Groups;
 use crate::limit::Limits;
 use crate::neighbour::Roster;
-use crate::neighbour::reader::Role;
 use crate::pace::Group;
 use crate::quarantine::Quarantine;
 use crate::request::Plan;
@@ -40,16 +38,10 @@
 use crate::route::ServiceId;
 use crate::route::Table;
 use crate::settled::Agreement;
-use crate::spread;
-use crate::spread::FullRead;
-use crate::spread::Need;
-use crate::spread::Revision;
 use crate::spread::Spread;
 use crate::subscription::Subscribers;
-use crate::upstream::Change;
 use crate::upstream::Outcome;
 use crate::upstream::Pool;
-use crate::upstream::Upstream;
 use crate::version::Lag;
 use crate::warm_up::WarmUps;
 
@@ -59,20 +51,8 @@
 /// gateway.
 const NOT_READY_RETRY: Duration = Duration::from_millis(100);
 
-/// Heartbeats of upstreams within which an entry that is not renewed has expired: three until it
-/// expires, and one for the news to arrive.
-const EXPIRY_HEARTBEATS: u32 = 4;
-
-/// Age of the known state up to which a failed call does not count as a loss of the store: other
-/// gateways read for this one.
-const MAX_RELAYED_AGE: Duration = Duration::from_millis(2_800);
-
-/// Time after its start within which a gateway learns of most others. Until then it has the state
-/// that it read at its start.
-pub(crate) const VIEW_TIME: Duration = Duration::from_millis(500);
-
 /// Maximum number of gateways named to a sidecar. At eight bytes each, they fit into one datagram
-/// together with as many upstreams twice.
+/// together with twice as many upstreams.
 const MAX_GATEWAYS: usize = 2_048;
 
 /// Bounds set by the platform's operators.
@@ -92,15 +72,6 @@
     pub heartbeat: Duration,
 }
 
-/// Lists of a full read of the store.
-#[derive(Clone, Debug, Default)]
-pub struct Listed {
-    /// All upstreams whose entries can be decoded.
-    pub upstreams: Vec<Upstream>,
-    /// All evacuated failure domains, with the revisions at which this was written.
-    pub evacuations: Vec<(FailureDomainId, Revision)>,
-}
-
 /// What a group leader's digest changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Update {
@@ -110,24 +81,11 @@
     pub has_slowed: bool,
 }
 
-/// A failed request to the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StoreFailure {
-    /// Whether the request before it succeeded.
-    pub is_first: bool,
-    /// Whether other gateways keep this one informed.
-    pub is_relayed: bool,
-    /// Age of the known state; `None` if nothing is known yet.
-    pub age: Option<Duration>,
-    /// Delay before the next request.
-    pub pause: Duration,
-}
-
 /// State of one gateway. It is changed by what the gateway learns and by its own decisions.
 pub struct Gateway {
     pub(crate) failure_domain: FailureDomainId,
     pub(crate) bounds: Bounds,
-    /// Time of day of the process start, since the Unix epoch.
+    /// Time of day of the process start, since the Unix epoch; the maximum if it is unknown.
     pub(crate) started: Duration,
     table: Option<Arc<Table>>,
     pub(crate) paces: HashMap<GroupId, Group>,
@@ -225,69 +183,6 @@
         true
     }
 
-    /// Applies a full read of the store as of `revision`, whose configuration was written at
-    /// `configuration`; returns what changed.
-    pub fn apply_full_read(
-        &mut self,
-        listed: Listed,
-        revision: Revision,
-        configuration: Revision,
-        now: Monotonic,
-    ) -> (Vec<Change>, Vec<evacuation::Change>) {
-        let Listed {
-            upstreams,
-            evacuations,
-        } = listed;
-        for upstream in &upstreams {
-            self.record_warm_up(upstream, now);
-        }
-        match self.spread.record_full_read(revision, configuration) {
-            FullRead::Complete => (
-                self.pool.replace(upstreams, revision),
-                self.pool.evacuations.replace(evacuations, revision),
-            ),
-            FullRead::Restored => {
-                self.freshness.record_restore(now);
-                let until = now + self.bounds.heartbeat * EXPIRY_HEARTBEATS;
-                (
-                    self.pool.restore(upstreams, revision, until),
-                    self.pool.evacuations.restore(evacuations, revision),
-                )
-            }
-        }
-    }
-
-    /// Applies changes of the published state that are complete up to the known revision; returns
-    /// what changed.
-    pub fn apply_changes(
-        &mut self,
-        changes: Vec<spread::Change>,
-        now: Monotonic,
-    ) -> (Vec<Change>, Vec<evacuation::Change>) {
-        let as_of = self.spread.revision().unwrap_or_default();
-        let mut upstreams = Vec::new();
-        let mut evacuations = Vec::new();
-        for change in changes {
-            match change {
-                spread::Change::Upstream(upstream) => {
-                    self.record_warm_up(&upstream, now);
-                    upstreams.extend(self.pool.insert(upstream));
-                }
-                spread::Change::Removed(id) => {
-                    upstreams.extend(self.pool.mark_missing(&id, as_of));
-                }
-                spread::Change::Configuration => {}
-                spread::Change::Evacuated(domain) => {
-                    evacuations.extend(self.pool.evacuations.record(domain, true, as_of));
-                }
-                spread::Change::Returned(domain) => {
-                    evacuations.extend(self.pool.evacuations.record(domain, false, as_of));
-                }
-            }
-        }
-        (upstreams, evacuations)
-    }
-
     /// Returns the version of the configuration in force.
     #[must_use]
     pub fn version(&self) -> Option<u64> {
@@ -300,8 +195,8 @@
         self.table.as_ref()
     }
 
-    /// Does periodic work: adjusts this gateway's shares of the retry budget and of the rates of cold
-    /// upstreams to the size of the fleet, and drops expired backoffs.
+    /// Does periodic work: adjusts this gateway's share of the retry budget to the size of the
+    /// fleet, and drops backoffs and warm-ups that are over.
     pub fn tick(&mut self, now: Monotonic) {
         let is_settled = now > crate::neighbour::NEWS_TIMEOUT;
         let fleet = is_settled.then_some(self.roster.peak_members());
@@ -310,7 +205,7 @@
             .set_settings(retry_budget::settings(instance, &self.bounds, fleet));
         self.budget.tick(now);
         self.backoffs.forget(now);
-        self.refresh_warm_ups(now);
+        self.forget_warm(now);
     }
 
     /// Returns whether this gateway has a configuration and knows that it is current enough to
@@ -320,37 +215,6 @@
         self.table.is_some() && self.freshness.is_fresh(now)
     }
 
-    /// Returns what this gateway has to read from the store now: as a reader, or if no reader keeps
-    /// it informed.
-    pub fn need(&mut self, now: Monotonic) -> Need {
-        // Right after its start a gateway knows too few others to tell the readers.
-        let is_forming = now < VIEW_TIME || self.roster.is_view_forming(now);
-        let is_reader = !is_forming && self.roster.role(now) == Role::Reader;
-        let is_alone = spread::must_read_itself(self.freshness.age(now));
-        let is_unanswered = self.spread.is_unanswered(now);
-        self.spread
-            .need(is_reader || is_alone || is_unanswered, now)
-    }
-
-    /// Records that a request to the store failed.
-    pub fn record_store_failure(&mut self, now: Monotonic) -> StoreFailure {
-        let is_first = !self.roster.is_store_unreachable();
-        self.roster.set_store_unreachable(true);
-        let age = self.freshness.age(now);
-        let is_relayed = age.is_some_and(|age| age < MAX_RELAYED_AGE);
-        if !is_relayed {
-            self.freshness.record_failure(now);
-        }
-        let is_reader = self.roster.role(now) == Role::Reader;
-        let is_unanswered = self.spread.is_unanswered(now);
-        StoreFailure {
-            is_first,
-            is_relayed,
-            age,
-            pause: self.spread.record_failure(is_reader || is_unanswered),
-        }
-    }
-
     /// Decides how a request is to be served.
     ///
     /// # Errors
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -39,7 +39,6 @@
 
 #[derive(Clone, Debug)]
 struct State {
-    is_open: bool,
     reported_at: Monotonic,
     digest: Digest,
 }
@@ -89,7 +88,6 @@
         let before = self.states.insert(
             group.clone(),
             State {
-                is_open,
                 reported_at,
                 digest: digest.clone(),
             },
@@ -98,7 +96,7 @@
         let engines = digest.engines.iter();
         self.by_address
             .extend(engines.map(|busy| (busy.engine, group.clone())));
-        before.is_none_or(|before| before.is_open != is_open)
+        before.is_none_or(|before| before.digest.is_open != is_open)
     }
 
     /// Returns the newest reports, for a gateway that has just started.
@@ -198,7 +196,8 @@
     pub fn is_unavailable(&self, group: &str, now: Monotonic) -> bool {
         let state = self.states.get(group);
         let is_reported = state.is_some_and(|state| {
-            !state.is_open && now.saturating_sub(state.reported_at) < UNAVAILABLE_REPORT_MAX_AGE
+            !state.digest.is_open
+                && now.saturating_sub(state.reported_at) < UNAVAILABLE_REPORT_MAX_AGE
         });
         let marked_at = self.marked_unavailable.get(group);
         is_reported || marked_at.is_some_and(|at| now.saturating_sub(*at) < UNAVAILABLE_DURATION)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,8 +19,10 @@
 //! - `backoff`: which upstreams have asked for backoff
 //! - `warm_up`: how often cold upstreams may be used
 //! - [`freshness`]: how old the known state may be
+//! - [`published`]: what is read from the store
 //! - [`spread`]: which gateways read the store on behalf of others
 //! - `subscription`: which gateways are sent changes without asking
+//! - `share`: parts of what the fleet shares
 //! - [`settled`]: which upstreams missing from the list are gone
 //! - `version`: whether another gateway has a newer configuration
 //! - [`event`]: splitting streams into whole events
@@ -47,12 +49,14 @@
 mod moving;
 pub mod neighbour;
 pub mod pace;
+pub mod published;
 pub mod quarantine;
 pub mod report;
 pub mod request;
 mod retry_budget;
 pub mod route;
 pub mod settled;
+mod share;
 pub mod spread;
 mod subscription;
 pub mod upstream;
--- a/crates/gateway/src/neighbour/heartbeat.rs
+++ b/crates/gateway/src/neighbour/heartbeat.rs
@@ -40,10 +40,8 @@
         self.own_entry.heartbeats += 1;
         self.forget_silent(now);
         Heartbeat {
-            from: self.own_entry.clone(),
-            counts,
             others: self.relayed(now, rng),
-            members: count(self.members(now)),
+            ..self.own_heartbeat(counts, now)
         }
     }
 
@@ -61,12 +59,9 @@
 
     /// Returns the entries of some live gateways: those that have just changed, and a few others.
     fn relayed(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<Entry> {
-        let live = self
-            .others
-            .values()
-            .filter(|known| self.is_alive(known, now));
-        let (changed, same): (Vec<&Peer>, Vec<&Peer>) =
-            live.partition(|known| now.saturating_sub(known.changed) < CHANGE_TIME);
+        let (changed, same): (Vec<&Peer>, Vec<&Peer>) = self
+            .live_peers(now)
+            .partition(|known| now.saturating_sub(known.changed) < CHANGE_TIME);
         let changed = changed.into_iter().choose_multiple(rng, MAX_RELAYED);
         let more = MIN_RELAYED.saturating_sub(changed.len());
         let same = same.into_iter().choose_multiple(rng, more);
@@ -77,11 +72,7 @@
     /// Returns the last heartbeat with gossip about some others, for a gateway that started or came
     /// back.
     pub(crate) fn join_reply(&self, now: Monotonic, rng: &mut impl Rng) -> Heartbeat {
-        let live = self
-            .others
-            .values()
-            .filter(|known| self.is_alive(known, now));
-        let relayed = live.choose_multiple(rng, MAX_RELAYED);
+        let relayed = self.live_peers(now).choose_multiple(rng, MAX_RELAYED);
         Heartbeat {
             others: relayed
                 .into_iter()
@@ -116,12 +107,9 @@
     /// Returns the peer addresses of [`FANOUT`] other live gateways, most of them in the own failure
     /// domain.
     fn sample_near(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<SocketAddr> {
-        let live = self
-            .others
-            .values()
-            .filter(|known| self.is_alive(known, now));
-        let (near, far): (Vec<&Peer>, Vec<&Peer>) =
-            live.partition(|known| known.entry.failure_domain == self.own_entry.failure_domain);
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) = self
+            .live_peers(now)
+            .partition(|known| known.entry.failure_domain == self.own_entry.failure_domain);
         let far_count = far.len().min(FANOUT - LOCAL_FANOUT.min(near.len()));
         let near = near.into_iter().choose_multiple(rng, FANOUT - far_count);
         let far = far.into_iter().choose_multiple(rng, far_count);
@@ -136,11 +124,7 @@
         now: Monotonic,
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
-        let live = self
-            .others
-            .values()
-            .filter(|known| self.is_alive(known, now));
-        let addresses = live.map(|known| known.entry.peers);
+        let addresses = self.live_peers(now).map(|known| known.entry.peers);
         addresses.choose_multiple(rng, most)
     }
 }
--- a/crates/gateway/src/neighbour/news.rs
+++ b/crates/gateway/src/neighbour/news.rs
@@ -60,11 +60,7 @@
 impl Roster {
     /// Returns news of live gateways, those first of which the latest news has just arrived.
     pub fn news(&self, now: Monotonic, rng: &mut impl Rng) -> Vec<Record> {
-        let live = self
-            .others
-            .values()
-            .filter(|known| self.is_alive(known, now));
-        let mut live: Vec<&Peer> = live.collect();
+        let mut live: Vec<&Peer> = self.live_peers(now).collect();
         if live.len() > MAX_RECORDS {
             live.select_nth_unstable_by_key(MAX_RECORDS, |known| {
                 Reverse((known.heard, rng.random::<u32>()))
--- a/crates/gateway/src/neighbour/peer.rs
+++ b/crates/gateway/src/neighbour/peer.rs
@@ -54,8 +54,9 @@
         gap
     }
 
-    pub(super) fn is_member(&self, now: Monotonic) -> bool {
-        now.saturating_sub(self.heard) < MEMBER_TIMEOUT
+    /// Returns whether the last news is younger than `timeout`.
+    pub(super) fn is_alive(&self, timeout: Duration, now: Monotonic) -> bool {
+        now.saturating_sub(self.heard) < timeout
     }
 }
 
--- a/crates/gateway/src/neighbour/reader.rs
+++ b/crates/gateway/src/neighbour/reader.rs
@@ -56,8 +56,7 @@
     }
 
     fn select(&self, now: Monotonic) -> Selection<'_> {
-        let live = self.others.values();
-        let live = live.filter(|known| self.is_alive(known, now));
+        let live = self.live_peers(now);
         let all: Vec<&Entry> = live
             .map(|known| &known.entry)
             .chain([&self.own_entry])
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -3,30 +3,31 @@
 //!
 //! A few gateways read the store, and [`crate::neighbour::reader`] selects them. The others query
 //! one of these, or a gateway that does, and get the changes since the revision they know, or learn
-//! that they have to read the full state themselves. An answer is dated to the
-//! time its query was sent, minus the age of the reader's own knowledge, so that a delayed message
-//! never makes knowledge look younger than it is.
+//! that they have to read the full state themselves. An answer is dated to the time its query was
+//! sent, minus the age of what its sender knows, so that a delayed message never makes knowledge
+//! look younger than it is.
 //!
 //! A store that is restored from a backup assigns the same revision numbers again. Therefore a
 //! [`Revision`] includes a generation of the store, and numbers are never compared across
 //! generations. A gateway that learns of a different generation from the store, or of a newer one
 //! from another gateway, reads the full state again.
 
+mod message;
 mod revision;
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use auburnline_core::id::FailureDomainId;
 use auburnline_core::time::Monotonic;
-use serde::Deserialize;
-use serde::Serialize;
 
-use crate::route::Configuration;
 use crate::route::Version;
-use crate::upstream::Upstream;
-use crate::upstream::UpstreamId;
 
+use message::MAX_ANSWER_CHANGES;
+
+pub use message::Answer;
+pub use message::Change;
+pub use message::Query;
+pub use message::Update;
 pub use revision::FullRead;
 pub use revision::Generation;
 pub use revision::Revision;
@@ -34,9 +35,6 @@
 /// Changes that are kept to answer queries. Of several changes of one entry only the last is kept,
 /// so a restart of 2,000 upstreams, with one entry removed and one added each, fits.
 const MAX_KEPT_CHANGES: usize = 4_096;
-/// Maximum changes in an answer, so that it fits into one datagram. Whoever gets that many asks for
-/// the next ones immediately.
-const MAX_ANSWER_CHANGES: usize = 64;
 /// Age of the local knowledge from which a gateway reads the store itself, reader or not: two
 /// periods of a watch, a relay's query, a follower's and some time for the messages, and well before
 /// API keys stop being trusted.
@@ -61,84 +59,6 @@
 /// others read for it. Nothing depends on its success, and hundreds of gateways may be in this state.
 const PROBE_DELAYS: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(16));
 
-/// One change of the published state.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Change {
-    /// An upstream was added or rewritten.
-    Upstream(Upstream),
-    /// An upstream was removed from the list.
-    Removed(UpstreamId),
-    /// A configuration was written; its content is requested separately.
-    Configuration,
-    /// The evacuation of a failure domain was written.
-    Evacuated(FailureDomainId),
-    /// The evacuation of a failure domain was removed.
-    Returned(FailureDomainId),
-}
-
-impl Change {
-    /// Returns what it is about; a later change with the same key replaces it.
-    fn key(&self) -> Key<'_> {
-        match self {
-            Change::Upstream(upstream) => Key::Upstream(&upstream.id),
-            Change::Removed(id) => Key::Upstream(id),
-            Change::Configuration => Key::Configuration,
-            Change::Evacuated(domain) | Change::Returned(domain) => Key::Evacuation(domain),
-        }
-    }
-}
-
-/// What a change is about.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Key<'a> {
-    Upstream(&'a str),
-    Configuration,
-    Evacuation(&'a str),
-}
-
-/// Request of a gateway for the changes since the revision it knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Query {
-    /// Sequence number assigned by the sender, returned in the [`Answer`].
-    pub number: u64,
-    /// Revision up to which the sender knows the state.
-    pub revision: Revision,
-    /// Revision of the sender's configuration; set only while it waits for a newer one.
-    pub configuration: Option<Revision>,
-}
-
-/// Configuration that a gateway sends to another one.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Update {
-    /// Revision of the store at which it was written.
-    pub revision: Revision,
-    /// The configuration.
-    pub configuration: Configuration,
-}
-
-/// Changes that a reader sends, in reply to a [`Query`] or unsolicited.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
-    /// Number of the query; `None` if the answer is unsolicited.
-    pub number: Option<u64>,
-    /// Revision after which the changes begin.
-    pub since: Revision,
-    /// Revision up to which the changes are complete.
-    pub until: Revision,
-    /// Age of the reader's knowledge when it sent the answer.
-    pub age: Duration,
-    /// Changes in order of revision.
-    pub changes: Vec<(Revision, Change)>,
-}
-
-impl Answer {
-    /// Returns whether the sender may have further changes, after these.
-    #[must_use]
-    pub fn is_truncated(&self) -> bool {
-        self.changes.len() >= MAX_ANSWER_CHANGES
-    }
-}
-
 /// What this gateway has to read from the store now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Need {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -68,7 +68,6 @@
     /// the same id.
     pub born: Option<u64>,
     /// Time for which it is still cold, as of the entry's last write.
-    #[serde(default)]
     pub warm_up: Duration,
 }
 
@@ -171,13 +170,17 @@
         was_ready.then(|| Change::Leaving(Arc::clone(&member.upstream)))
     }
 
-    /// Returns whether this incarnation of an upstream accepts new requests.
+    /// Returns whether this incarnation of an upstream gets new requests.
     #[must_use]
     pub fn is_ready(&self, upstream: &Upstream) -> bool {
         let member = self.members.get(&upstream.id);
         let member = member.filter(|member| !member.is_other_incarnation(upstream));
-        let is_ready = member.is_some_and(Member::is_ready);
-        is_ready && !self.evacuations.contains(&upstream.failure_domain)
+        member.is_some_and(|member| self.is_usable(member))
+    }
+
+    /// Returns whether a member accepts new requests, and its failure domain is not evacuated.
+    fn is_usable(&self, member: &Member) -> bool {
+        member.is_ready() && !self.evacuations.contains(&member.upstream.failure_domain)
     }
 
     /// Sets the services that the configuration in force defines.
@@ -288,10 +291,7 @@
         let members = self.members.values();
         members.filter(move |member| {
             let is_asked = *member.upstream.service == *service;
-            is_asked
-                && member.is_ready()
-                && !self.evacuations.contains(&member.upstream.failure_domain)
-                && self.addresses.is_newest(&member.upstream)
+            is_asked && self.is_usable(member) && self.addresses.is_newest(&member.upstream)
         })
     }
 
--- a/crates/gateway/src/warm_up.rs
+++ b/crates/gateway/src/warm_up.rs
@@ -1,40 +1,41 @@
 //! Upstreams that are cold: for some time they bear few requests per second from the whole fleet.
 //!
 //! All gateways learn of a cold upstream from its entry, and each derives its own share of the rate
-//! without asking another one: the requests of a second are dealt to the known gateways in an order
-//! that depends on the upstream. Gateways that fail keep their shares for as long as they are known,
-//! so that a fleet which falls apart sends no more than a whole one.
+//! without asking another one, from the largest number of gateways that it ever saw live at once. So
+//! a fleet which falls apart sends no more than a whole one.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use auburnline_core::time::Monotonic;
 
 use crate::gateway::Gateway;
-use crate::gateway::VIEW_TIME;
 use crate::quarantine::StartTag;
 use crate::quarantine::start_tag;
+use crate::share;
 use crate::upstream::Upstream;
 
 /// Window in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(1);
+/// Time after its start within which a gateway can't tell the size of the fleet.
+const FLEET_UNKNOWN_TIME: Duration = Duration::from_millis(500);
 
 #[derive(Clone, Debug)]
 struct Cold {
     until: Monotonic,
-    /// Requests that this gateway may send in each window.
-    share: usize,
     /// When requests were sent within the last window.
     sends: VecDeque<Monotonic>,
 }
 
 impl Cold {
-    /// Returns until when the upstream is not used; none if it may be used now.
-    fn closed_until(&self, now: Monotonic) -> Option<Monotonic> {
+    /// Returns until when the upstream is not used by a gateway that may send it `share` requests
+    /// in each window; none if it may be used now.
+    fn closed_until(&self, share: usize, now: Monotonic) -> Option<Monotonic> {
         let is_recent = |at: &&Monotonic| now.saturating_sub(**at) < WINDOW;
         let recent = self.sends.iter().filter(is_recent).count();
-        if recent < self.share {
+        if recent < share {
             return None;
         }
         let oldest = self.sends.get(self.sends.len() - recent);
@@ -52,16 +53,6 @@
         self.0.is_empty()
     }
 
-    /// Returns until when an upstream is not used; none if it may be used now.
-    pub(crate) fn closed_until(&self, upstream: &Upstream, now: Monotonic) -> Option<Monotonic> {
-        if self.is_empty() {
-            return None;
-        }
-        let cold = self.0.get(&start_tag(upstream));
-        let cold = cold.filter(|cold| now < cold.until)?;
-        cold.closed_until(now)
-    }
-
     /// Records that a request is sent to an upstream.
     pub(crate) fn record_send(&mut self, upstream: &Upstream, now: Monotonic) {
         if self.is_empty() {
@@ -83,45 +74,44 @@
             return;
         }
         let until = now.saturating_add(upstream.warm_up);
-        let share = self.warm_up_share(upstream, now);
         let cold = self.warm_ups.0.entry(start).or_insert(Cold {
             until,
-            share,
             sends: VecDeque::new(),
         });
         cold.until = until;
     }
 
-    /// Adjusts the shares to the gateways that are known now, and forgets upstreams that are warm.
-    pub(crate) fn refresh_warm_ups(&mut self, now: Monotonic) {
+    /// Forgets upstreams that are warm or no longer known.
+    pub(crate) fn forget_warm(&mut self, now: Monotonic) {
         if self.warm_ups.is_empty() {
             return;
         }
-        self.warm_ups.0.retain(|_, cold| now < cold.until);
-        let cold = self.pool.starts();
-        let cold = cold.filter(|(start, _)| self.warm_ups.0.contains_key(start));
-        let shares: Vec<(StartTag, usize)> = cold
-            .map(|(start, upstream)| (start, self.warm_up_share(upstream, now)))
-            .collect();
-        for (start, share) in shares {
-            if let Some(cold) = self.warm_ups.0.get_mut(&start) {
-                cold.share = share;
-            }
+        let known: HashSet<StartTag> = self.pool.starts().map(|(start, _)| start).collect();
+        self.warm_ups
+            .0
+            .retain(|start, cold| now < cold.until && known.contains(start));
+    }
+
+    /// Returns until when an upstream is not used because it is cold; none if it may be used now.
+    pub(crate) fn cold_until(&self, upstream: &Upstream, now: Monotonic) -> Option<Monotonic> {
+        if self.warm_ups.is_empty() {
+            return None;
         }
+        let cold = self.warm_ups.0.get(&start_tag(upstream));
+        let cold = cold.filter(|cold| now < cold.until)?;
+        let service = self.table()?.service(&upstream.service)?;
+        let share = self.warm_up_share(service.warm_up_rate?, upstream, now);
+        cold.closed_until(share, now)
     }
 
-    /// Returns how many requests per window this gateway may send to a cold upstream.
-    fn warm_up_share(&self, upstream: &Upstream, now: Monotonic) -> usize {
-        let rate = self
-            .table()
-            .and_then(|table| table.service(&upstream.service)?.warm_up_rate);
-        let Some(rate) = rate else {
-            return usize::MAX;
-        };
-        // A gateway that has just started knows too few others to tell its share.
-        if now < VIEW_TIME {
+    /// Returns how many requests per window this gateway may send to an upstream that bears `rate`
+    /// from all gateways together.
+    fn warm_up_share(&self, rate: f64, upstream: &Upstream, now: Monotonic) -> usize {
+        if now < FLEET_UNKNOWN_TIME {
             return 0;
         }
-        self.roster.share(rate, &upstream.id)
+        let instance = &self.roster.own_entry().instance;
+        let share = share::of(rate, self.roster.peak_members(), instance, &upstream.id);
+        usize::try_from(share).unwrap_or(usize::MAX)
     }
 }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod route;
 mod settled;
 mod spread;
+mod start;
 mod support;
 mod upstream;
 mod version;
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use auburnline_gateway::gateway::Listed;
 use auburnline_gateway::message::Entry;
 use auburnline_gateway::message::Heartbeat;
+use auburnline_gateway::published::Listed;
 use auburnline_gateway::route::Configuration;
 use auburnline_gateway::route::Engine;
 use auburnline_gateway::route::Kind;
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -101,7 +101,7 @@
     // What a relay knows ages further on its way to the others.
     let is_relay = shared.gateway().roster.role(now) == Role::Relay;
     if is_awaiting || is_relay || heartbeats.is_multiple_of(HEARTBEATS_PER_QUERY) {
-        query_readers(shared, now);
+        query_informants(shared, now);
     }
 }
 
@@ -139,10 +139,10 @@
 }
 
 /// Queries the gateways that inform this one for changes, unless it reads the store itself.
-pub(crate) fn query_readers(shared: &Shared, now: Monotonic) {
+pub(crate) fn query_informants(shared: &Shared, now: Monotonic) {
     let mut gateway = shared.gateway();
-    let readers = gateway.roster.informants(now);
-    if readers.is_empty() {
+    let informants = gateway.roster.informants(now);
+    if informants.is_empty() {
         return;
     }
     let query = gateway.spread.query(now);
@@ -150,15 +150,15 @@
     let Some(query) = query else {
         return;
     };
-    // Only one reader, in rotation, is asked for the configuration, which is by far the longest answer.
-    let turn = usize::try_from(query.number).unwrap_or(0) % readers.len().max(1);
-    for (index, reader) in readers.into_iter().enumerate() {
+    // Only one of them, in rotation, is asked for the configuration, which is by far the longest answer.
+    let turn = usize::try_from(query.number).unwrap_or(0) % informants.len().max(1);
+    for (index, informant) in informants.into_iter().enumerate() {
         let configuration = query.configuration.filter(|_| index == turn);
         let query = Query {
             configuration,
             ..query
         };
-        shared.send(&Datagram::Query(query), reader);
+        shared.send(&Datagram::Query(query), informant);
     }
 }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -229,9 +229,7 @@
     pub(crate) fn export_evacuations(&self) {
         let gateway = self.gateway();
         for (domain, in_flight) in gateway.pool.in_flight_by_evacuated() {
-            let domain = domain.to_string();
-            metrics::gauge!("auburnline_evacuated_in_flight", "failure_domain" => domain)
-                .set(in_flight);
+            record_evacuated_in_flight(domain, in_flight);
         }
     }
 
@@ -293,6 +291,13 @@
     Some(packet)
 }
 
+/// Exports how many requests of this gateway run in a failure domain that is or was evacuated.
+pub(crate) fn record_evacuated_in_flight(failure_domain: &str, in_flight: u32) {
+    let failure_domain = failure_domain.to_owned();
+    metrics::gauge!("auburnline_evacuated_in_flight", "failure_domain" => failure_domain)
+        .set(in_flight);
+}
+
 /// Logs that the store answers again after a failure.
 pub(crate) fn log_regained(gateway: &Gateway, now: Monotonic) {
     let age_ms = millis(gateway.freshness.age(now).unwrap_or_default());
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -7,7 +7,7 @@
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::evacuation;
 use auburnline_gateway::freshness;
-use auburnline_gateway::gateway::Listed;
+use auburnline_gateway::published::Listed;
 use auburnline_gateway::route::Configuration;
 use auburnline_gateway::route::Table;
 use auburnline_gateway::spread;
@@ -24,6 +24,7 @@
 use crate::gossip;
 use crate::shared::Shared;
 use crate::shared::log_regained;
+use crate::shared::record_evacuated_in_flight;
 use crate::telemetry::millis;
 
 /// Interval at which a source checks whether there is something to read.
@@ -227,7 +228,7 @@
             self.0.push_changes(since);
         }
         if has_more || (is_awaiting && !was_awaiting) {
-            gossip::query_readers(&self.0, self.now());
+            gossip::query_informants(&self.0, self.now());
         }
         self.0.source_wakeup.notify_one();
     }
@@ -316,6 +317,7 @@
             log::info!(target: "upstreams", failure_domain; "evacuating failure domain");
         } else {
             log::info!(target: "upstreams", failure_domain; "evacuation ended");
+            record_evacuated_in_flight(failure_domain, 0);
         }
     }
 }
