--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -20,10 +20,9 @@
 
 use auburnline_core::time::Monotonic;
 
+use self::message::MAX_ANSWER_CHANGES;
 use crate::route::Version;
 
-use message::MAX_ANSWER_CHANGES;
-
 pub use message::Answer;
 pub use message::Change;
 pub use message::Query;
