--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -123,8 +123,8 @@
         Refusal::new(ErrorKind::Unreachable, reason).with_retry_after(after)
     }
 
-    /// Refuses a request if every upstream that it could go to is at its rate limit or asked for
-    /// backoff. The retry time starts when the first of them opens.
+    /// Refuses a request if every upstream that it could go to is at its rate limit, asked for
+    /// backoff or is cold. The retry time starts when the first of them opens.
     pub(crate) fn all_closed(
         &mut self,
         plan: &Plan,
@@ -153,7 +153,8 @@
             INDEPENDENT_RETRY_SECONDS
         };
         let after = closed_for + self.random_duration(retry_bounds);
-        let reason = "all remaining upstreams are at their rate limits or asked for backoff";
+        let reason =
+            "all remaining upstreams are at their rate limits, asked for backoff or are cold";
         let mut refusal = Refusal::new(ErrorKind::Overloaded, reason);
         refusal.is_throttled = true;
         Some(refusal.with_retry_after(after))
--- a/crates/gateway/src/warm_up.rs
+++ b/crates/gateway/src/warm_up.rs
@@ -16,6 +16,7 @@
 use crate::quarantine::start_tag;
 use crate::share;
 use crate::upstream::Upstream;
+use crate::upstream::UpstreamId;
 
 /// Window in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(1);
@@ -104,6 +105,19 @@
         cold.closed_until(share, now)
     }
 
+    /// Returns the cold upstreams of a service, at most `most`, with the time for which they are.
+    #[must_use]
+    pub fn cold(&self, service: &str, most: usize, now: Monotonic) -> Vec<(UpstreamId, Duration)> {
+        let upstreams = self.pool.iter();
+        let upstreams = upstreams.filter(|upstream| *upstream.service == *service);
+        let cold = upstreams.filter_map(|upstream| {
+            let cold = self.warm_ups.0.get(&start_tag(upstream))?;
+            let left = cold.until.checked_sub(now)?;
+            Some((upstream.id.clone(), left))
+        });
+        cold.take(most).collect()
+    }
+
     /// Returns how many requests per window this gateway may send to an upstream that bears `rate`
     /// from all gateways together.
     fn warm_up_share(&self, rate: f64, upstream: &Upstream, now: Monotonic) -> usize {
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -13,6 +13,9 @@
 use auburnline_gateway::request::Request;
 use auburnline_gateway::upstream::Outcome;
 use auburnline_gateway::upstream::State;
+use auburnline_gateway::upstream::Upstream;
+use auburnline_lockstep::message::MembersQuery;
+use auburnline_lockstep::message::Message;
 use googletest::prelude::*;
 
 use crate::support;
@@ -364,3 +367,31 @@
         expect_that!(retries, all![ge(200), le(300)], "{count} gateways");
     }
 }
+
+/// Guards against leaders that report to a part of a large fleet only, or hear nothing of it, because
+/// its gateways and upstreams don't fit into the answer to their question.
+#[gtest]
+fn what_a_leader_hears_of_a_fleet_of_thousands_fits_into_one_datagram() {
+    const GATEWAYS: u16 = 2_048;
+    const UPSTREAMS: u16 = 4_096;
+    const MAX_DATAGRAM_BYTES: usize = 60 << 10;
+    let mut gateway = gateway(0);
+    for number in 1..GATEWAYS {
+        let from = heartbeat(support::entry(number, 1, 1));
+        gateway.roster.receive(&from, millis(1_000));
+    }
+    for number in 0..UPSTREAMS {
+        gateway.pool.insert(Upstream {
+            address: ([10, 0, 0, 1], 10_000 + number).into(),
+            ..upstream(&format!("rank-{number}"), "model", State::Ready)
+        });
+    }
+    let query = MembersQuery {
+        service: "model".to_owned(),
+    };
+    let members = gateway.members(&query, millis(1_000));
+    expect_that!(members.gateways.len(), eq(usize::from(GATEWAYS)));
+    expect_that!(members.upstreams.len(), eq(usize::from(UPSTREAMS)));
+    let bytes = postcard::to_stdvec(&Message::Members(members)).expect("bytes");
+    expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
+}
--- a/crates/gateway/tests/all/warm_up.rs
+++ b/crates/gateway/tests/all/warm_up.rs
@@ -144,3 +144,20 @@
     gateway.apply_changes(vec![Change::Upstream(warm)], millis(COLD_AT + 10));
     expect_that!(flood(&mut gateway, COLD_AT + 20), gt(BOUND));
 }
+
+/// Guards against a refusal whose cause can't be found in the log.
+#[gtest]
+fn a_refusal_names_the_upstreams_that_are_cold() {
+    let mut gateway = member(1, 98, || true);
+    let now = COLD_AT + 10;
+    flood(&mut gateway, now);
+    let plan = ask(&mut gateway, "/desk/", Some("key-1"), now).expect("a plan");
+    let Admission::Refuse(refusal) = gateway.admit(&plan, millis(now)) else {
+        panic!("the only upstream is cold");
+    };
+    expect_that!(refusal.is_throttled, eq(true));
+    expect_that!(
+        gateway.cold("desk", 9, millis(now)),
+        elements_are![eq(&("cold".into(), WARM_UP.saturating_sub(millis(10))))]
+    );
+}
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -38,6 +38,9 @@
 /// younger than the revocation bound, and removals are known well within the draining bound.
 const HEARTBEATS_PER_QUERY: u64 = 2;
 
+/// Messages of one packet that are handled: more than any gateway sends together, so that a malformed packet causes few replies.
+const MAX_MESSAGES: usize = 16;
+
 /// Sends a heartbeat every [`HEARTBEAT_PERIOD`] and handles messages as they arrive, for as long as the process runs.
 pub(crate) async fn run(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let mut rng = SmallRng::from_os_rng();
@@ -162,9 +165,12 @@
     }
 }
 
-/// Handles the messages of a packet one after the other.
+/// Handles the messages of a packet one after the other, at most [`MAX_MESSAGES`].
 fn handle_packet(shared: &Rc<Shared>, mut bytes: &[u8], from: SocketAddr) {
-    while !bytes.is_empty() {
+    for _ in 0..MAX_MESSAGES {
+        if bytes.is_empty() {
+            return;
+        }
         match postcard::take_from_bytes(bytes) {
             Ok((message, rest)) => {
                 bytes = rest;
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -6,6 +6,7 @@
 use auburnline_gateway::event::EventId;
 use auburnline_gateway::request::Plan;
 use auburnline_gateway::request::Refusal;
+use auburnline_gateway::upstream::UpstreamId;
 use http::Response;
 use metrics::counter;
 use metrics::histogram;
@@ -49,13 +50,11 @@
             .map(|one| (one.upstream.id.clone(), one.limit, one.home))
             .collect::<Vec<_>>()
     });
-    let backing_off = plan.filter(|_| refusal.is_throttled).map(|plan| {
-        let backing_off = gateway.backing_off(&plan.service, MAX_LISTED_UPSTREAMS, now);
-        backing_off
-            .into_iter()
-            .map(|(upstream, left)| (upstream, millis(left)))
-            .collect::<Vec<_>>()
-    });
+    let throttled = plan.filter(|_| refusal.is_throttled);
+    let backing_off = throttled
+        .map(|plan| in_millis(gateway.backing_off(&plan.service, MAX_LISTED_UPSTREAMS, now)));
+    let cold =
+        throttled.map(|plan| in_millis(gateway.cold(&plan.service, MAX_LISTED_UPSTREAMS, now)));
     let prediction = basis.map(|basis| basis.prediction);
     log::info!(
         target: "gateway",
@@ -78,6 +77,7 @@
         cautious:? = basis.map(|basis| basis.is_cautious),
         limited:?,
         backing_off_ms:? = backing_off,
+        cold_ms:? = cold,
         version:? = gateway.version(),
         age_ms = millis(age);
         "refuse"
@@ -90,6 +90,13 @@
     head::own(&*shared.dialect, id, kind, refusal.retry_after)
 }
 
+fn in_millis(times: Vec<(UpstreamId, Duration)>) -> Vec<(UpstreamId, u64)> {
+    let times = times.into_iter();
+    times
+        .map(|(upstream, time)| (upstream, millis(time)))
+        .collect()
+}
+
 fn workspace(plan: Option<&Plan>) -> &str {
     let workspace = plan.and_then(|plan| plan.workspace.as_ref());
     workspace.map_or("", |workspace| &*workspace.name)
