--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -1,10 +1,10 @@
 //! Membership of the gateways and their load, by gossip.
 //!
-//! Each gateway sends a [`Heartbeat`](crate::message::Heartbeat) to a few others several times a second. It describes the
-//! sender and relays part of what the sender knows of others, and compact [`news`] of many more go
-//! with it, so that every gateway learns of all others without sending to all. A gateway without
-//! news for [`NEWS_TIMEOUT`], or for longer in a fleet whose news come more rarely, is no longer
-//! offered to callers; one that leaves announces it.
+//! Each gateway sends a [`Heartbeat`](crate::message::Heartbeat) to a few others several times a
+//! second. It describes the sender and relays part of what the sender knows of others, and compact
+//! [`news`] of many more go with it, so that every gateway learns of all others without sending to
+//! all. A gateway without news for [`NEWS_TIMEOUT`], or for longer in a fleet whose news come more
+//! rarely, is no longer offered to callers; one that leaves announces it.
 
 mod heartbeat;
 mod merge;
