Readers of a large fleet together read the store as often as one

Cause: three readers poll, and each change of the list ends a poll of each of them, at most each 0.2 s. While hundreds of upstreams start or renew their entries there are changes all the time, so calls grew with the readers. Now each of them waits 0.6 s between two polls; relays hear of a change from the first of them that reads it.

--- a/crates/gateway/src/neighbour/reader.rs
+++ b/crates/gateway/src/neighbour/reader.rs
@@ -7,6 +7,7 @@
 //! live gateways that reach the store.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use auburnline_core::hash::rendezvous;
 use auburnline_core::time::Monotonic;
@@ -23,6 +24,12 @@
 /// no calls to the store.
 const MAX_DOMAIN_OF_READERS: usize = 3;
 
+/// Minimum time between the starts of two reads of the store, by a gateway that reads for itself or
+/// by all readers of a large fleet together. Each change ends a poll, and while hundreds of upstreams
+/// start, stop or renew their entries there are changes all the time. It delays a change by at most
+/// this time for each reader, which is short compared with every bound on such a delay.
+const READ_PERIOD: Duration = Duration::from_millis(200);
+
 /// How a gateway learns of changes of the published state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -39,6 +46,8 @@
     role: Role,
     /// Gateways that this one queries; empty for a reader.
     informants: Vec<&'a Entry>,
+    /// Minimum time between two of this gateway's reads of the store.
+    read_period: Duration,
 }
 
 impl Roster {
@@ -55,6 +64,12 @@
         informants.map(|entry| entry.peers).collect()
     }
 
+    /// Returns the minimum time between the starts of two reads of the store by this gateway.
+    #[must_use]
+    pub fn read_period(&self, now: Monotonic) -> Duration {
+        self.select(now).read_period
+    }
+
     fn select(&self, now: Monotonic) -> Selection<'_> {
         let live = self.live_peers(now);
         let all: Vec<&Entry> = live
@@ -80,19 +95,24 @@
         let readers = top(able, "store", READERS);
         let relays = relays(near);
         if self.is_among(&readers) {
+            // All relays hear of a change from the reader that is first to read it.
+            let readers = u32::try_from(readers.len()).unwrap_or(1);
             Selection {
                 role: Role::Reader,
                 informants: Vec::new(),
+                read_period: READ_PERIOD * readers,
             }
         } else if self.is_among(&relays) {
             Selection {
                 role: Role::Relay,
                 informants: readers,
+                read_period: READ_PERIOD,
             }
         } else {
             Selection {
                 role: Role::Follower,
                 informants: relays,
+                read_period: READ_PERIOD,
             }
         }
     }
@@ -103,11 +123,13 @@
             return Selection {
                 role: Role::Reader,
                 informants: Vec::new(),
+                read_period: READ_PERIOD,
             };
         }
         Selection {
             role: Role::Follower,
             informants: readers,
+            read_period: READ_PERIOD,
         }
     }
 
--- a/crates/gateway/tests/all/restore/mod.rs
+++ b/crates/gateway/tests/all/restore/mod.rs
@@ -199,6 +199,8 @@
     violations: Vec<String>,
     /// Time for which each read of changes waits, so that its result is that old.
     poll: Duration,
+    /// Calls to the store.
+    reads: usize,
     /// Reads by gateways that are not readers.
     extra_reads: usize,
 }
--- a/crates/gateway/tests/all/restore/readers.rs
+++ b/crates/gateway/tests/all/restore/readers.rs
@@ -13,6 +13,8 @@
 
 /// Readers of a large fleet; while views differ for a moment there may be one more.
 const READERS: usize = 3;
+/// Calls of one reader in five seconds, one each 0.2 s, and a few by gateways that lost messages.
+const MAX_READS_OF_ONE: usize = 30;
 /// One gateway in this many may read for itself once in ten seconds, since messages get lost.
 const LOST_PART: usize = 30;
 
@@ -93,3 +95,16 @@
         expect_that!(world.able(), eq(count), "{count} gateways");
     }
 }
+
+/// Guards against calls to the store that multiply with the readers while its list changes all the
+/// time, as when hundreds of upstreams renew their entries.
+#[gtest]
+fn readers_of_a_list_that_changes_all_the_time_call_the_store_no_more_than_one_would() {
+    for count in [98, 340] {
+        let mut world = World::start(count, 1);
+        world.run(Duration::from_secs(4));
+        world.reads = 0;
+        world.run(Duration::from_secs(5));
+        expect_that!(world.reads, le(MAX_READS_OF_ONE), "{count} gateways");
+    }
+}
--- a/crates/gateway/tests/all/restore/world.rs
+++ b/crates/gateway/tests/all/restore/world.rs
@@ -44,6 +44,7 @@
             returned_at: None,
             violations: Vec::new(),
             poll: Duration::ZERO,
+            reads: 0,
             extra_reads: 0,
         };
         world.write(3);
@@ -126,7 +127,8 @@
         }
         gateway.roster.set_store_unreachable(false);
         gateway.spread.record_success();
-        node.next_read = self.now + self.poll.max(STEP * 2);
+        node.next_read = self.now + self.poll.max(gateway.roster.read_period(now));
+        self.reads += 1;
         self.extra_reads += usize::from(gateway.roster.role(now) != Role::Reader);
         let since = gateway.spread.revision().unwrap_or_default();
         let (written, version) = self.store.configuration();
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Returns the minimum time between the starts of two requests to the store.
+    #[must_use]
+    pub fn read_period(&self) -> Duration {
+        self.0.gateway().roster.read_period(self.now())
+    }
+
     /// Applies a snapshot that was requested at `asked`.
     pub fn apply_snapshot(&self, snapshot: Snapshot, asked: Monotonic) {
         let written = snapshot
