Gateways that start get the published list from each other

Cause: after a loss of power all gateways read the whole list at once, gateways times upstreams entries over the store's link. Now each requests the list from the seeds, page by page; copies form a tree; who has none takes its turn at the store within 1.5 s. One pass over a list of 3,000 upstreams compared each known one with each listed one; it uses a set now.

Without network all of 1,000 gateways have 3,000 upstreams within 2 s, 340 have 720 within 1.2 s, also without one seed; all reading the store at once would take 21 s and 1.7 s.

--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -53,6 +53,15 @@
         evacuated.map(|(domain, _)| domain)
     }
 
+    /// Returns the evacuated failure domains, with the revisions at which this was written.
+    pub(crate) fn listed(&self) -> Vec<(FailureDomainId, Revision)> {
+        let evacuated = self.0.iter();
+        let evacuated = evacuated.filter(|(_, record)| record.is_evacuated);
+        evacuated
+            .map(|(domain, record)| (domain.clone(), record.written))
+            .collect()
+    }
+
     /// Records that the evacuation of a failure domain was written or removed at a revision.
     pub fn record(
         &mut self,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -40,6 +40,8 @@
 use crate::settled::Agreement;
 use crate::spread::Spread;
 use crate::subscription::Subscribers;
+use crate::transfer::Receivers;
+use crate::transfer::Transfer;
 use crate::upstream::Outcome;
 use crate::upstream::Pool;
 use crate::version::Lag;
@@ -118,6 +120,9 @@
     pub(crate) backoffs: Backoffs,
     /// Upstreams that are cold.
     pub(crate) warm_ups: WarmUps,
+    /// This gateway's request for the published state, and others' requests to it.
+    pub(crate) transfer: Transfer,
+    pub(crate) receivers: Receivers,
 }
 
 impl Gateway {
@@ -154,6 +159,8 @@
             limits: Limits::default(),
             backoffs: Backoffs::default(),
             warm_ups: WarmUps::default(),
+            transfer: Transfer::default(),
+            receivers: Receivers::default(),
             bounds,
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`published`]: what is read from the store
 //! - [`spread`]: which gateways read the store on behalf of others
 //! - `subscription`: which gateways are sent changes without asking
+//! - [`transfer`]: how a gateway that starts gets the published state from others
 //! - `share`: parts of what the fleet shares
 //! - [`settled`]: which upstreams missing from the list are gone
 //! - `version`: whether another gateway has a newer configuration
@@ -59,6 +60,7 @@
 mod share;
 pub mod spread;
 mod subscription;
+pub mod transfer;
 pub mod upstream;
 mod version;
 mod warm_up;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -20,6 +20,7 @@
 use crate::route::Version;
 use crate::settled;
 use crate::spread;
+use crate::transfer;
 use crate::upstream::Counts;
 
 /// State of a gateway, as it reports it about itself.
@@ -100,4 +101,8 @@
     EntriesQuery(Vec<Tag>),
     /// Reply to [`Datagram::EntriesQuery`].
     Entries(Vec<Entry>),
+    /// Request of a gateway that starts for a page of the published list.
+    TransferQuery(transfer::Query),
+    /// Reply to [`Datagram::TransferQuery`].
+    TransferReply(transfer::Reply),
 }
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -111,6 +111,17 @@
         self.seeds = seeds;
     }
 
+    /// Returns whether others contact this gateway before they know any other.
+    pub(crate) fn is_seed(&self) -> bool {
+        self.seeds.contains(&self.own_entry.peers)
+    }
+
+    /// Returns the addresses of the seeds but this gateway's own.
+    pub(crate) fn other_seeds(&self) -> impl Iterator<Item = SocketAddr> {
+        let seeds = self.seeds.iter().copied();
+        seeds.filter(|seed| *seed != self.own_entry.peers)
+    }
+
     /// Sets whether this gateway accepts new requests; returns whether that changed.
     pub fn set_ready(&mut self, is_ready: bool) -> bool {
         let is_changed = self.own_entry.is_ready != is_ready;
@@ -159,11 +170,8 @@
         });
         let recent: Vec<&Entry> = recent.map(|known| &known.entry).collect();
         let heard_directly = |seed: &SocketAddr| recent.iter().any(|entry| entry.peers == *seed);
-        let mut seeds = self
-            .seeds
-            .iter()
-            .filter(|seed| **seed != self.own_entry.peers);
-        recent.iter().any(|entry| entry.is_ready) || seeds.all(heard_directly)
+        let mut seeds = self.other_seeds();
+        recent.iter().any(|entry| entry.is_ready) || seeds.all(|seed| heard_directly(&seed))
     }
 
     /// Sets whether this gateway's last call to the store failed.
--- a/crates/gateway/src/neighbour/heartbeat.rs
+++ b/crates/gateway/src/neighbour/heartbeat.rs
@@ -87,11 +87,7 @@
         let mut targets = self.sample_near(now, rng);
         let is_isolated = targets.len() < FANOUT / 2;
         if is_isolated || self.own_entry.heartbeats.is_multiple_of(SEED_HEARTBEATS) {
-            targets.extend(
-                self.seeds
-                    .iter()
-                    .filter(|seed| **seed != self.own_entry.peers),
-            );
+            targets.extend(self.other_seeds());
         }
         if is_isolated {
             // After a network partition the seeds may be gone while other known gateways are
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -112,7 +112,10 @@
     /// Returns what this gateway has to read from the store now: as a reader, or if no reader keeps
     /// it informed.
     pub fn need(&mut self, now: Monotonic) -> Need {
-        let is_reader = self.roster.role(now) == Role::Reader;
+        if self.is_read_deferred(now) {
+            return Need::Nothing;
+        }
+        let is_reader = self.roster.role(now) == Role::Reader && !self.is_view_forming(now);
         let is_alone = spread::must_read_itself(self.freshness.age(now));
         let is_unanswered = self.spread.is_unanswered(now);
         self.spread
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -17,7 +17,7 @@
 }
 
 /// Returns a number from 0 to below 1; over a fleet they are uniform.
-fn fraction(instance: &str, key: &str) -> f64 {
+pub(crate) fn fraction(instance: &str, key: &str) -> f64 {
     let hash = stable(stable(0, key.as_bytes()), instance.as_bytes()) >> u32::BITS;
     let hash = u32::try_from(hash).unwrap_or(0);
     f64::from(hash) / (f64::from(u32::MAX) + 1.0)
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -160,6 +160,12 @@
         self.awaited_since = None;
     }
 
+    /// Records that a configuration was written at `revision`, which is not read yet unless it was
+    /// before.
+    pub(crate) fn announce_configuration(&mut self, revision: Revision) {
+        self.heard = self.heard.max(revision);
+    }
+
     /// Keeps a configuration to answer queries. The order is by version first: versions only
     /// increase, whereas a restored store may contain an older one at a later revision.
     pub fn keep_configuration(&mut self, update: Update) {
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -29,6 +29,15 @@
 pub(crate) struct Subscribers(HashMap<SocketAddr, Subscriber>);
 
 impl Subscribers {
+    /// Adds a gateway that is to get later changes, and awaits no configuration.
+    pub(crate) fn add(&mut self, gateway: SocketAddr, now: Monotonic) {
+        let subscriber = Subscriber {
+            asked: now,
+            awaits_after: None,
+        };
+        self.0.insert(gateway, subscriber);
+    }
+
     fn drop_outdated(&mut self, now: Monotonic) {
         self.0
             .retain(|_, subscriber| now.saturating_sub(subscriber.asked) < SUBSCRIPTION_AGE);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -12,6 +12,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -209,8 +210,8 @@
     /// Applies a full list as of a revision; upstreams that it does not contain are marked as
     /// missing.
     pub fn replace(&mut self, upstreams: Vec<Upstream>, as_of: Revision) -> Vec<Change> {
-        let listed: Vec<UpstreamId> = upstreams.iter().map(|one| one.id.clone()).collect();
-        let untrusted_ids: Vec<UpstreamId> = self.untrusted.keys().cloned().collect();
+        let listed: HashSet<UpstreamId> = upstreams.iter().map(|one| one.id.clone()).collect();
+        let untrusted_ids: HashSet<UpstreamId> = self.untrusted.keys().cloned().collect();
         let trusted = upstreams.into_iter();
         let trusted = trusted.filter(|one| !untrusted_ids.contains(&one.id));
         let mut changes: Vec<Change> = trusted.filter_map(|one| self.insert(one)).collect();
@@ -222,6 +223,24 @@
         changes
     }
 
+    /// Returns the listed upstreams after `id` in the order of ids, at most `most`.
+    pub(crate) fn listed_after(&self, id: Option<&UpstreamId>, most: usize) -> Vec<Upstream> {
+        let start = id.map_or(Bound::Unbounded, Bound::Excluded);
+        let members = self
+            .members
+            .range::<UpstreamId, _>((start, Bound::Unbounded));
+        let listed = members.filter(|(_, member)| member.missing_as_of.is_none());
+        listed
+            .map(|(_, member)| Upstream::clone(&member.upstream))
+            .take(most)
+            .collect()
+    }
+
+    /// Returns whether some entries of a restored store are not trusted yet.
+    pub(crate) fn has_untrusted(&self) -> bool {
+        !self.untrusted.is_empty()
+    }
+
     /// Removes all missing upstreams.
     pub fn expire(&mut self) -> Vec<Change> {
         self.remove(|missing_as_of| missing_as_of.is_some())
--- a/crates/gateway/src/version.rs
+++ b/crates/gateway/src/version.rs
@@ -43,6 +43,13 @@
     asked_ahead: Option<Monotonic>,
 }
 
+impl Lag {
+    /// Returns the time as of which the state is known, confirmed or not.
+    pub(crate) const fn known_at(&self) -> Option<Monotonic> {
+        self.known_at
+    }
+}
+
 impl Default for Lag {
     /// Returns the state of a gateway that just started.
     fn default() -> Lag {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod spread;
 mod start;
 mod support;
+mod transfer;
 mod upstream;
 mod version;
 mod warm_up;
--- a/crates/gateway/tests/all/restore/exchange.rs
+++ b/crates/gateway/tests/all/restore/exchange.rs
@@ -5,6 +5,7 @@
 use auburnline_gateway::message::Datagram;
 use auburnline_gateway::neighbour::reader::Role;
 use auburnline_gateway::spread::Revision;
+use auburnline_gateway::transfer::Step;
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -99,6 +100,28 @@
                 gateway.expire(now);
                 None
             }
+            Message::TransferQuery(query) => {
+                let replies = gateway.answer_transfer(&query, peers(from), now);
+                for reply in replies {
+                    self.send(number, peers(from), reply.into());
+                }
+                None
+            }
+            Message::TransferReply(reply) => {
+                match gateway.apply_transfer(reply, peers(from), now) {
+                    Step::Ignore => {}
+                    Step::Request(query, to) => {
+                        self.send(number, to, Message::TransferQuery(query));
+                    }
+                    Step::Done(done) => {
+                        if !gateway.spread.awaits_configuration() {
+                            gateway.confirm(done.known_at, now);
+                        }
+                        self.query(number);
+                    }
+                }
+                None
+            }
             Message::ConfigurationQuery(version) => {
                 let update = gateway.spread.configuration_newer_than(version).cloned();
                 update.map(Message::Configuration)
@@ -142,6 +165,9 @@
                 messages.push((ahead, Message::ConfigurationQuery(node.gateway.version())));
             }
         }
+        if let Some((query, to)) = node.gateway.next_transfer_query(now) {
+            messages.push((to, Message::TransferQuery(query)));
+        }
         let is_awaiting = node.gateway.spread.awaits_configuration();
         let is_relay = node.gateway.roster.role(now) == Role::Relay;
         let is_due = steps.is_multiple_of(if is_relay { BEAT_STEPS } else { QUERY_STEPS });
--- a/crates/gateway/tests/all/restore/mod.rs
+++ b/crates/gateway/tests/all/restore/mod.rs
@@ -27,6 +27,7 @@
 use auburnline_gateway::spread::Query;
 use auburnline_gateway::spread::Revision;
 use auburnline_gateway::spread::Update;
+use auburnline_gateway::transfer;
 use auburnline_gateway::upstream::State;
 use auburnline_gateway::upstream::Upstream;
 use googletest::prelude::*;
@@ -156,6 +157,8 @@
     Configuration(Update),
     SettledQuery(settled::Query),
     SettledReply(settled::Reply),
+    TransferQuery(transfer::Query),
+    TransferReply(transfer::Reply),
 }
 
 impl From<Datagram> for Message {
@@ -163,6 +166,7 @@
         match message {
             Datagram::Answer(answer) => Message::Answer(answer),
             Datagram::Configuration(update) => Message::Configuration(*update),
+            Datagram::TransferReply(reply) => Message::TransferReply(reply),
             other => panic!("a message that is not in the simulation: {other:?}"),
         }
     }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -30,6 +30,7 @@
 use crate::shared::MAX_DATAGRAM_BYTES;
 use crate::shared::Shared;
 use crate::source::Feed;
+use crate::transfer;
 
 /// Time between two ticks beyond which this process is considered to have been suspended.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_secs(1);
@@ -260,6 +261,8 @@
                 .apply_entries(&entries, shared.now());
             log_updates(&updates);
         }
+        Datagram::TransferQuery(query) => transfer::answer(shared, &query, from),
+        Datagram::TransferReply(reply) => transfer::receive(shared, reply, from),
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod source;
 mod stream;
 mod telemetry;
+mod transfer;
 
 pub use clock::Clock;
 pub use dialect::Backoff;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -31,6 +31,7 @@
 use crate::shared::Shared;
 use crate::source::Feed;
 use crate::source::Source;
+use crate::transfer;
 
 /// Fraction of the grace period for which a gateway that is shutting down accepts new connections: callers cache discovery
 /// responses for seconds, and the requests that they send meanwhile must still complete within the period.
@@ -132,6 +133,7 @@
     let listener = TcpListener::bind(settings.metrics).await?;
     spawn_local(scrape::serve(listener, metrics));
     spawn_local(gossip::run(Rc::clone(shared), socket));
+    spawn_local(transfer::run(Rc::clone(shared)));
     let max_connections = settings.descriptors / DESCRIPTORS_PER_CALLER;
     Ok(spawn_local(callers::listen(
         Rc::clone(shared),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -51,6 +51,8 @@
     open: Cell<usize>,
     /// Wakes the source when there may be something to read.
     pub(crate) source_wakeup: Notify,
+    /// Wakes the source when another gateway has passed the published state on.
+    pub(crate) transferred: Notify,
     /// Wakes requests in flight when a rank has become a straggler.
     pub(crate) straggler_reported: Notify,
     /// Requests that wait for a reply from a limit's home, by the number of the [`Request`](auburnline_quota::home::Request).
@@ -70,6 +72,7 @@
             leaving_since: Cell::new(None),
             open: Cell::new(0),
             source_wakeup: Notify::new(),
+            transferred: Notify::new(),
             straggler_reported: Notify::new(),
             permits: RefCell::default(),
             socket: OnceCell::new(),
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -1,5 +1,6 @@
 //! Input of the state that a platform publishes, and its distribution to other gateways.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use auburnline_gateway::spread::Need;
 use auburnline_gateway::spread::Revision;
 use auburnline_gateway::spread::Update;
+use auburnline_gateway::transfer;
 use auburnline_gateway::upstream;
 use auburnline_gateway::upstream::Upstream;
 use auburnline_gateway::upstream::UpstreamId;
@@ -134,6 +136,27 @@
         self.0.push_changes(Revision::default());
     }
 
+    /// Completes when another gateway passes the published state on, so that it need not be read.
+    pub async fn transferred(&self) {
+        self.0.transferred.notified().await;
+    }
+
+    /// Applies the list that the gateway at `from` passed on.
+    pub(crate) fn apply_transfer(&self, done: transfer::Done, from: SocketAddr) {
+        let age_ms = millis(self.now().saturating_sub(done.known_at));
+        log::info!(target: "store", from:%, age_ms; "another gateway passed the published state on");
+        metrics::counter!("auburnline_transfers_total").increment(1);
+        self.log_applied((done.upstreams, done.evacuations));
+        let is_awaiting = self.0.gateway().spread.awaits_configuration();
+        if !is_awaiting {
+            self.record_known(done.known_at);
+        }
+        self.expire();
+        gossip::query_informants(&self.0, self.now());
+        self.0.source_wakeup.notify_one();
+        self.0.transferred.notify_waiters();
+    }
+
     /// Applies a configuration written at `revision`; `None` if it could not be decoded.
     pub fn apply_configuration_change(
         &self,
