A gateway that read the store amid a transfer passes the whole list on

It went on serving the pages that it had received so far, and never the last one. Read in the code after the change before; the test failed by the missing page: transfer::a_gateway_that_read_the_store_amid_a_transfer_passes_the_whole_list_on.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -212,6 +212,7 @@
             .set_settings(retry_budget::settings(instance, &self.bounds, fleet));
         self.budget.tick(now);
         self.backoffs.forget(now);
+        self.end_transfer(now);
         self.forget_warm(now);
     }
 
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -140,8 +140,7 @@
         self.upstreams.last().map(|one| one.id.clone())
     }
 
-    /// Returns a full page, of upstreams that are in the order of ids; `None` if it
-    /// is not here yet.
+    /// Returns a full page; `None` if it is not here yet. Upstreams are in the order of ids.
     fn page(&self, after: Option<&UpstreamId>, now: Monotonic) -> Option<Page> {
         let is_earlier = |one: &Upstream| after.is_some_and(|after| one.id <= *after);
         let later = &self.upstreams[self.upstreams.partition_point(is_earlier)..];
@@ -274,6 +273,13 @@
         now < turn && !self.roster.is_seed() && self.awaits_transfer(now)
     }
 
+    /// Drops the pages of a transfer that is over because this gateway has read the store.
+    pub(crate) fn end_transfer(&mut self, now: Monotonic) {
+        if !self.awaits_transfer(now) {
+            self.transfer.partial = None;
+        }
+    }
+
     /// Returns whether this gateway was given the list and may not know its role yet.
     pub(crate) fn is_view_forming(&self, now: Monotonic) -> bool {
         self.transfer.is_done && now < VIEW_TIME
@@ -331,8 +337,8 @@
 
     /// Returns a page; `None` if this gateway does not have it yet, or doubts what it has.
     fn page(&self, after: Option<&UpstreamId>, now: Monotonic) -> Option<Page> {
-        if let Some(partial) = &self.transfer.partial {
-            return partial.page(after, now);
+        if self.spread.revision().is_none() {
+            return self.transfer.partial.as_ref()?.page(after, now);
         }
         let known_at = self.lag.known_at()?;
         let age = now.saturating_sub(known_at);
--- a/crates/gateway/tests/all/transfer.rs
+++ b/crates/gateway/tests/all/transfer.rs
@@ -16,6 +16,8 @@
 use auburnline_gateway::route::Table;
 use auburnline_gateway::spread::Need;
 use auburnline_gateway::spread::Update;
+use auburnline_gateway::transfer::Query;
+use auburnline_gateway::transfer::Reply;
 use auburnline_gateway::transfer::Step;
 use auburnline_gateway::upstream::State;
 use auburnline_gateway::upstream::Upstream;
@@ -303,13 +305,41 @@
     let mut world = World::start(4, 15, 1);
     world.run();
     let seed = &mut world.nodes[0].gateway;
-    let query = auburnline_gateway::transfer::Query { after: None };
     let asked = Duration::from_secs(20);
-    let replies = seed.answer_transfer(&query, peers(3), asked);
-    expect_that!(
-        replies,
-        elements_are![matches_pattern!(Datagram::TransferReply(matches_pattern!(
-            auburnline_gateway::transfer::Reply::Wait
-        )))]
+    let replies = seed.answer_transfer(&Query { after: None }, peers(3), asked);
+    let waits = vec![Datagram::TransferReply(Reply::Wait)];
+    expect_that!(replies, eq(&waits));
+}
+
+/// Guards against a gateway that keeps others waiting because it began a transfer and then read the
+/// store.
+#[gtest]
+fn a_gateway_that_read_the_store_amid_a_transfer_passes_the_whole_list_on() {
+    let mut world = World::start(5, 400, 1);
+    world.run();
+    let Some(Datagram::TransferReply(first)) = world.nodes[0]
+        .gateway
+        .answer_transfer(&Query { after: None }, peers(3), millis(900))
+        .pop()
+    else {
+        panic!("a page");
+    };
+    let mut gateway = node(3);
+    let (_, seed) = gateway.next_transfer_query(millis(0)).expect("a query");
+    let step = gateway.apply_transfer(first, seed, millis(10));
+    assert_that!(
+        step,
+        matches_pattern!(Step::Request(anything(), anything()))
     );
+    apply(&mut gateway, &world.update);
+    let listed = upstreams(world.list.clone());
+    let written = world.update.revision;
+    gateway.apply_full_read(listed, revision(LIST_REVISION), written, millis(20));
+    gateway.confirm(millis(20), millis(20));
+    let last = world.list.last().map(|last| last.id.clone());
+    let replies = gateway.answer_transfer(&Query { after: last }, peers(4), millis(30));
+    let Some(Datagram::TransferReply(Reply::Page(page))) = replies.first() else {
+        panic!("a page, not {replies:?}");
+    };
+    expect_that!(page.is_last, eq(true));
 }
