Retry shares of a fleet that starts add up to no more than the budget

Cause: a gateway counted the members that it knew 1.6 s after its start as the whole fleet. Without network, 1,300 gateways that start at once know so few others by then that their shares add up to 1.67 times the budget (340: 1.07, 98: 1.00). Ruled out: twice the known members, from 0.9 s on (2.41 / 2 at 1,300).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -205,12 +205,12 @@
     /// Does periodic work: adjusts this gateway's share of the retry budget to the size of the
     /// fleet, and drops backoffs and warm-ups that are over.
     pub fn tick(&mut self, now: Monotonic) {
-        let is_settled = now > crate::neighbour::NEWS_TIMEOUT;
-        let fleet = is_settled.then_some(self.roster.peak_members());
+        // Drops full accounts, so that these start again with the reserve if it grows now.
+        self.budget.tick(now);
         let instance = &self.roster.own_entry().instance;
+        let fleet = self.roster.fleet_size(now);
         self.budget
             .set_settings(retry_budget::settings(instance, &self.bounds, fleet));
-        self.budget.tick(now);
         self.backoffs.forget(now);
         self.end_transfer(now);
         self.forget_warm(now);
--- a/crates/gateway/tests/all/membership.rs
+++ b/crates/gateway/tests/all/membership.rs
@@ -241,3 +241,26 @@
     });
     expect_that!(offering.count(), eq(0));
 }
+
+/// Guards against shares of what the fleet shares that add up to more than the whole, because its
+/// gateways have just started and know only some of the others.
+#[gtest]
+fn shares_of_a_fleet_that_starts_at_once_add_up_to_no_more_than_the_whole() {
+    for count in FLEETS {
+        let mut world = World::start(count);
+        for _ in 0..60 {
+            world.run(STEP);
+            let rosters = world.rosters.iter().flatten();
+            let sizes = rosters.filter_map(|roster| roster.fleet_size(world.now));
+            let shares = sizes.map(|size| 1.0 / f64::from(u32::try_from(size).expect("a fleet")));
+            let what = format!("{count} gateways after {:?}", world.now);
+            expect_that!(shares.sum::<f64>(), le(1.05), "{what}");
+        }
+        world.run(Duration::from_secs(4));
+        let rosters = world.rosters.iter().flatten();
+        let sizes = rosters.filter_map(|roster| roster.fleet_size(world.now));
+        let is_near = |size: &usize| *size <= count && *size >= count - count / 20;
+        let known = sizes.filter(is_near).count();
+        expect_that!(known, ge(count - count / 100), "of {count} gateways");
+    }
+}
