--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -324,7 +324,7 @@
         let (Some(update), Some(page)) = (update, self.page(query.after.as_ref(), now)) else {
             return vec![Datagram::TransferReply(Reply::Wait)];
         };
-        if is_first && !self.receivers.admit(from, now) {
+        if !self.receivers.admit(from, now) {
             // All receivers have the first page, so none waits for the one that is referred to it.
             let referral = self.receivers.refer().map(Reply::Referral);
             return referral.into_iter().map(Datagram::TransferReply).collect();
--- a/crates/gateway/tests/all/transfer.rs
+++ b/crates/gateway/tests/all/transfer.rs
@@ -279,6 +279,22 @@
     }
 }
 
+/// Guards against a seed whose link is flooded by gateways that lost their source amid a transfer
+/// and go on at the seed.
+#[gtest]
+fn a_gateway_passes_further_pages_to_its_few_receivers_only() {
+    let mut world = World::start(4, 400, 1);
+    world.run();
+    let seed = &mut world.nodes[0].gateway;
+    let first = |number: usize| world.list[number].id.clone();
+    let pages = (10..60).flat_map(|number| {
+        let after = Some(first(number));
+        seed.answer_transfer(&Query { after }, peers(number), millis(900))
+    });
+    let is_page = |reply: &Datagram| matches!(reply, Datagram::TransferReply(Reply::Page(_)));
+    expect_that!(pages.filter(is_page).count(), le(6));
+}
+
 /// Guards against gateways that wait for seeds that are gone.
 #[gtest]
 fn a_gateway_whose_seeds_are_gone_reads_the_store() {
