--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -44,8 +44,8 @@
 const STABLE_TIME: Duration = Duration::from_millis(900);
 /// Divisor that gives the growth, as a part of the known members, up to which they count as stable.
 const GROWTH_DIVISOR: usize = 20;
-/// Times the known members that a fleet may have while more of them become known: a start of 1,300
-/// gateways at once is known to its members by two fifths, in the mean, after three heartbeats.
+/// Times the known members that a fleet may have while more of them become known. After a start of
+/// all gateways of a fleet of thousands that takes seconds.
 const UNKNOWN_FACTOR: usize = 3;
 /// Time without news up to which a gateway may be the home of a limit. It exceeds [`NEWS_TIMEOUT`]
 /// because in a fleet of hundreds the latest news of a live gateway may be older, and all gateways
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -31,7 +31,7 @@
 use crate::upstream::UpstreamId;
 
 /// Time after their start within which gateways that have no list yet begin to read the store, each
-/// at a moment of its own.
+/// at a moment of its own: longer than a large fleet takes to pass the list on.
 const READ_SPAN: Duration = Duration::from_millis(1_500);
 /// Time after its start until which a gateway requests the list from others: until the store's
 /// readers answer its queries anyway.
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -337,23 +337,30 @@
     assert_that!(gateway.take_retry(&plan, millis(1_000)), eq(false));
 }
 
+/// Returns a gateway that learns of its whole fleet, with a retry slack of 600, 0.6 s after its
+/// start.
+fn member(number: u16, count: u16) -> Gateway {
+    let bounds = Bounds {
+        retry_slack: 600.0,
+        ..BOUNDS
+    };
+    let roster = Roster::new(support::entry(number, 1, 0), Vec::new());
+    let mut gateway = Gateway::new("north".into(), bounds, roster, 1);
+    let mut from = heartbeat(support::entry(count, 1, 1));
+    from.members = count.into();
+    gateway.roster.receive(&from, millis(600));
+    gateway.set_table(table(3));
+    gateway
+}
+
 /// Guards against callers who are refused for good after a loss of power, because gateways that have
 /// just started may not retry what an upstream rejects while its group forms.
 #[gtest]
 fn a_fleet_that_has_just_started_may_use_a_part_of_its_retry_slack() {
     for count in [98_u16, 253, 1_300] {
-        let bounds = Bounds {
-            retry_slack: 600.0,
-            ..BOUNDS
-        };
         let mut retries = 0;
         for number in 0..count {
-            let roster = Roster::new(support::entry(number, 1, 0), Vec::new());
-            let mut gateway = Gateway::new("north".into(), bounds, roster, 1);
-            let mut from = heartbeat(support::entry(count, 1, 1));
-            from.members = count.into();
-            gateway.roster.receive(&from, millis(600));
-            gateway.set_table(table(3));
+            let mut gateway = member(number, count);
             gateway
                 .pool
                 .insert(upstream("desk-0", "desk", State::Ready));
@@ -377,18 +384,9 @@
 #[gtest]
 fn a_fleet_of_any_size_may_use_its_retry_slack_and_no_more() {
     for count in [6_u16, 98, 340, 1_300] {
-        let bounds = Bounds {
-            retry_slack: 600.0,
-            ..BOUNDS
-        };
         let mut retries = 0;
         for number in 0..count {
-            let roster = Roster::new(support::entry(number, 1, 0), Vec::new());
-            let mut gateway = Gateway::new("north".into(), bounds, roster, 1);
-            let mut from = heartbeat(support::entry(count, 1, 1));
-            from.members = count.into();
-            gateway.roster.receive(&from, millis(600));
-            gateway.set_table(table(3));
+            let mut gateway = member(number, count);
             let _ = gateway
                 .freshness
                 .record_success(millis(2_000), millis(2_000));
