A gateway that starts requests the others' configuration before it has the list

Cause: since gateways get the list from each other, one that starts reads the store later, and only one that has read it asked others for a newer configuration. Where a small fleet restarts in series after a restore of the store, the last gateway that knew a revocation could stop before another one knew it, so that the revoked key worked again. Also, the list is requested from gateways that are known to be ready, and from the seeds only while none is known.

--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -139,6 +139,12 @@
         seeds.filter(|seed| *seed != self.own_entry.peers)
     }
 
+    /// Returns the peer addresses of live gateways that accept requests.
+    pub(crate) fn ready_peers(&self, now: Monotonic) -> Vec<SocketAddr> {
+        let ready = self.live_peers(now).filter(|known| known.entry.is_ready);
+        ready.map(|known| known.entry.peers).collect()
+    }
+
     /// Sets whether this gateway accepts new requests; returns whether that changed.
     pub fn set_ready(&mut self, is_ready: bool) -> bool {
         let is_changed = self.own_entry.is_ready != is_ready;
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -2,8 +2,8 @@
 //!
 //! After a loss of power all gateways start at once. If each read the whole list from the store, the
 //! store's link would carry as many entries as there are gateways times upstreams. So they read it
-//! one after the other, and each requests it from the seeds too, page by page, until it has it from
-//! either. A gateway that has passed the list on to a few others refers further ones to these, so
+//! one after the other, and each requests it from the others too, page by page, until it has it from
+//! either: from those that it knows to be ready, or from the seeds while it knows none. A gateway that has passed the list on to a few others refers further ones to these, so
 //! that the copies form a tree.
 //!
 //! The pages are not a snapshot. The list is as of the revision of the first page; the changes after
@@ -36,13 +36,13 @@
 /// Time after its start until which a gateway requests the list from others: until the store's
 /// readers answer its queries anyway.
 const TIMEOUT: Duration = Duration::from_secs(3);
-/// Time without a reply after which a request is repeated, and then sent to the next seed: several
-/// times what a page takes on a slow link.
+/// Time without a reply after which a request is repeated, and then sent to the next gateway:
+/// several times what a page takes on a slow link.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Requests to one gateway without a reply after which the next seed is asked.
+/// Requests to one gateway without a reply after which the next one is asked.
 const MAX_REQUESTS: u32 = 2;
-/// Time without a page from one gateway after which the next seed is asked, so that gateways that
-/// wait for each other go on.
+/// Time without a page from one gateway after which the next one is asked, so that gateways that wait
+/// for each other go on.
 const MAX_WAIT: Duration = Duration::from_millis(200);
 /// Pause before a gateway that does not have a page yet is asked for it again.
 const WAIT_PAUSE: Duration = Duration::from_millis(25);
@@ -174,7 +174,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Transfer {
     is_done: bool,
-    /// Seeds asked so far.
+    /// Gateways asked so far, referrals not counted.
     attempts: u64,
     first_asked: Option<Monotonic>,
     request: Option<Request>,
@@ -304,10 +304,14 @@
                 return Some((self.transfer.ask(request.to, now), request.to));
             }
         }
-        let seeds: Vec<SocketAddr> = self.roster.other_seeds().collect();
+        let mut sources = self.roster.ready_peers(now);
+        if sources.is_empty() {
+            sources = self.roster.other_seeds().collect();
+        }
         let first = stable(0, self.roster.own_entry().instance.as_bytes());
-        let turn = first.wrapping_add(self.transfer.attempts) % u64::try_from(seeds.len()).ok()?;
-        let to = *seeds.get(usize::try_from(turn).ok()?)?;
+        let turn =
+            first.wrapping_add(self.transfer.attempts) % u64::try_from(sources.len()).ok()?;
+        let to = *sources.get(usize::try_from(turn).ok()?)?;
         self.transfer.attempts += 1;
         Some((self.transfer.ask(to, now), to))
     }
--- a/crates/gateway/src/version.rs
+++ b/crates/gateway/src/version.rs
@@ -65,8 +65,8 @@
 
 impl Gateway {
     /// Returns the gateway to request a newer configuration from; `None` if no other one is ahead,
-    /// or the store or its readers may still send it. Gateways that start together all read the
-    /// store at the same time, and a configuration is the longest message.
+    /// or the store or its readers may still send it. A gateway that starts requests it before it has
+    /// the list, because those that have it may stop meanwhile.
     pub fn catch_up(&mut self, now: Monotonic) -> Option<SocketAddr> {
         let Some(ahead) = self.ahead(now) else {
             self.lag.behind_since = None;
@@ -76,7 +76,8 @@
         let is_late = now.saturating_sub(since) >= CONFIGURATION_WAIT;
         let asked = self.lag.asked_ahead;
         let is_asked = asked.is_some_and(|at| now.saturating_sub(at) < HEARTBEAT_PERIOD);
-        if is_asked || !(self.awaits_peers(now) || is_late) {
+        let has_no_list = self.spread.revision().is_none();
+        if is_asked || !(has_no_list || self.awaits_peers(now) || is_late) {
             return None;
         }
         self.lag.asked_ahead = Some(now);
--- a/crates/gateway/tests/all/restore/mod.rs
+++ b/crates/gateway/tests/all/restore/mod.rs
@@ -331,6 +331,33 @@
     }
 }
 
+/// Revokes a key while some gateways can't hear of it, restores the store from a backup that still
+/// contains it, and restarts gateways in series until the revocation is written again.
+fn restart_after_a_restore(count: usize, seed: u64) -> World {
+    let mut world = World::start(count, seed);
+    world.run(Duration::from_secs(4));
+    let faulty = count.div_ceil(5);
+    for number in 0..faulty {
+        let until = world.now + millis(5_300 + world.rng.random_range(0..2_000));
+        match number % 2 {
+            0 => world.nodes[number].suspended_until = until,
+            _ => world.nodes[number].isolated_until = until,
+        }
+    }
+    world.run(millis(100));
+    world.write(5);
+    world.run(millis(5_100));
+    world.store.restore(1);
+    for _ in 0..10 {
+        let number = world.rng.random_range(faulty..count);
+        world.nodes[number] = world.node(number);
+        world.run(millis(250));
+    }
+    world.store.write(5);
+    world.run(Duration::from_secs(6));
+    world
+}
+
 /// Guards against revoked keys that work again at gateways that start, resume or reconnect, because
 /// the store they read was restored from a backup that still contains the keys.
 #[gtest]
@@ -338,27 +365,7 @@
     for count in FLEETS {
         let seeds = if count < 300 { 6 } else { 1 };
         for seed in 1..=seeds {
-            let mut world = World::start(count, seed);
-            world.run(Duration::from_secs(4));
-            let faulty = count.div_ceil(5);
-            for number in 0..faulty {
-                let until = world.now + millis(5_300 + world.rng.random_range(0..2_000));
-                match number % 2 {
-                    0 => world.nodes[number].suspended_until = until,
-                    _ => world.nodes[number].isolated_until = until,
-                }
-            }
-            world.run(millis(100));
-            world.write(5);
-            world.run(millis(5_100));
-            world.store.restore(1);
-            for _ in 0..10 {
-                let number = world.rng.random_range(faulty..count);
-                world.nodes[number] = world.node(number);
-                world.run(millis(250));
-            }
-            world.store.write(5);
-            world.run(Duration::from_secs(6));
+            let world = restart_after_a_restore(count, seed);
             expect_that!(
                 world.violations,
                 is_empty(),
@@ -368,3 +375,13 @@
         }
     }
 }
+
+/// Guards against a revocation that is lost because a small fleet restarts in series, each gateway
+/// before it has the list and with it the configuration of the others.
+#[gtest]
+fn a_revocation_survives_restarts_in_series() {
+    for seed in [1, 2, 3, 4, 5, 6, 104, 123] {
+        let world = restart_after_a_restore(6, seed);
+        expect_that!(world.violations, is_empty(), "seed {seed}");
+    }
+}
