--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -48,15 +48,17 @@
 
     /// Returns the evacuated failure domains.
     pub fn iter(&self) -> impl Iterator<Item = &FailureDomainId> {
-        let evacuated = self.0.iter();
-        let evacuated = evacuated.filter(|(_, record)| record.is_evacuated);
-        evacuated.map(|(domain, _)| domain)
+        self.evacuated().map(|(domain, _)| domain)
+    }
+
+    fn evacuated(&self) -> impl Iterator<Item = (&FailureDomainId, &Record)> {
+        let all = self.0.iter();
+        all.filter(|(_, record)| record.is_evacuated)
     }
 
     /// Returns the evacuated failure domains, with the revisions at which this was written.
     pub(crate) fn listed(&self) -> Vec<(FailureDomainId, Revision)> {
-        let evacuated = self.0.iter();
-        let evacuated = evacuated.filter(|(_, record)| record.is_evacuated);
+        let evacuated = self.evacuated();
         evacuated
             .map(|(domain, record)| (domain.clone(), record.written))
             .collect()
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -19,6 +19,11 @@
 /// propagation of the changes.
 pub const RECOVERY_GRACE: Duration = Duration::from_millis(2_600);
 
+/// Age of the local knowledge from which a gateway reads the store itself, reader or not: two
+/// periods of a watch, a relay's query, a follower's and some time for the messages, and well before
+/// API keys stop being trusted.
+const SELF_READ_AGE: Duration = Duration::from_millis(3_100);
+
 /// Age of the published state as known here, and whether the store answers.
 #[derive(Clone, Copy, Debug)]
 pub struct Freshness {
@@ -131,3 +136,9 @@
         self.lost_at.is_none() && self.followed_since.is_some_and(followed_long)
     }
 }
+
+/// Returns whether knowledge of this age requires a gateway to read the store itself.
+#[must_use]
+pub fn must_read_itself(age: Option<Duration>) -> bool {
+    age.is_none_or(|age| age > SELF_READ_AGE)
+}
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -6,6 +6,7 @@
 use auburnline_core::time::Monotonic;
 
 use crate::evacuation;
+use crate::freshness;
 use crate::gateway::Gateway;
 use crate::neighbour::reader::Role;
 use crate::spread;
@@ -116,7 +117,7 @@
             return Need::Nothing;
         }
         let is_reader = self.roster.role(now) == Role::Reader && !self.is_view_forming(now);
-        let is_alone = spread::must_read_itself(self.freshness.age(now));
+        let is_alone = freshness::must_read_itself(self.freshness.age(now));
         let is_unanswered = self.spread.is_unanswered(now);
         self.spread
             .need(is_reader || is_alone || is_unanswered, now)
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -34,11 +34,6 @@
 /// Changes that are kept to answer queries. Of several changes of one entry only the last is kept,
 /// so a restart of 2,000 upstreams, with one entry removed and one added each, fits.
 const MAX_KEPT_CHANGES: usize = 4_096;
-/// Age of the local knowledge from which a gateway reads the store itself, reader or not: two
-/// periods of a watch, a relay's query, a follower's and some time for the messages, and well before
-/// API keys stop being trusted.
-const SELF_READ_AGE: Duration = Duration::from_millis(3_100);
-
 /// Time without an answer from any reader after which a gateway reads the store itself: longer than
 /// it takes until a query is repeated.
 const UNANSWERED_TIMEOUT: Duration = Duration::from_millis(700);
@@ -403,9 +398,3 @@
         (new, asked.filter(|_| is_complete))
     }
 }
-
-/// Returns whether knowledge of this age requires a gateway to read the store itself.
-#[must_use]
-pub fn must_read_itself(age: Option<Duration>) -> bool {
-    age.is_none_or(|age| age > SELF_READ_AGE)
-}
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -10,26 +10,30 @@
 //! it are queried as usual. Pages are passed on before the last one is here, but not by a gateway
 //! that lacks the configuration or doubts some entries.
 
+mod message;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use auburnline_core::hash::stable;
 use auburnline_core::id::FailureDomainId;
 use auburnline_core::time::Monotonic;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::evacuation;
+use crate::freshness::must_read_itself;
 use crate::gateway::Gateway;
 use crate::message::Datagram;
 use crate::published::Listed;
 use crate::share;
 use crate::spread::Revision;
-use crate::spread::must_read_itself;
 use crate::upstream;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamId;
 
+pub use message::Page;
+pub use message::Query;
+pub use message::Reply;
+
 /// Time after their start within which gateways that have no list yet begin to read the store, each
 /// at a moment of its own: longer than a large fleet takes to pass the list on.
 const READ_SPAN: Duration = Duration::from_millis(1_500);
@@ -59,43 +63,6 @@
 /// heartbeats, after which it knows nearly all others and thereby its role.
 const VIEW_TIME: Duration = Duration::from_secs(1);
 
-/// Request for a page.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Query {
-    /// Last upstream of the page before; `None` for the first page.
-    pub after: Option<UpstreamId>,
-}
-
-/// Reply to a [`Query`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Reply {
-    /// A page of the list.
-    Page(Page),
-    /// Another gateway that has the list or is about to get it.
-    Referral(SocketAddr),
-    /// The sender does not have this page yet.
-    Wait,
-}
-
-/// Part of the list, in the order of ids.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Page {
-    /// Last upstream of the page before, as in the [`Query`].
-    pub after: Option<UpstreamId>,
-    /// Revision up to which the sender knows the published state.
-    pub revision: Revision,
-    /// Revision at which the configuration in force was written.
-    pub configuration: Revision,
-    /// Age of the sender's knowledge.
-    pub age: Duration,
-    /// Upstreams on the list.
-    pub upstreams: Vec<Upstream>,
-    /// All evacuated failure domains, with the revisions at which this was written.
-    pub evacuations: Vec<(FailureDomainId, Revision)>,
-    /// Whether no page follows.
-    pub is_last: bool,
-}
-
 /// What to do after a [`Reply`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
