Interfaces of scarce capacity: features by name, standing of a request, urgency from the configuration

A new crate of decisions, auburnline-admission. No feature is enabled, so nothing is decided otherwise; urgency is the workspace's priority and then the route's.

--- /dev/null
+++ b/crates/admission/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of who gets scarce capacity.
+
+mod standing;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -83,11 +83,11 @@
             self.all_unavailable_at
                 .insert(Arc::clone(&plan.service), now);
         }
-        let Some(headroom) = self.pick_group(&plan.service, &engine, longest, now) else {
+        let Some(headroom) = self.pick_group(plan, &engine, longest, now) else {
             return self.await_reform(plan, &engine, now);
         };
         let basis = Some(headroom.basis());
-        if headroom.is_free() {
+        if headroom.is_free(plan.standing()) {
             return Admission::Admit(basis);
         }
         let reopened = self.all_unavailable_at.get(&plan.service).copied();
@@ -114,7 +114,7 @@
     pub fn give_up(&mut self, plan: &Plan, reason: &'static str, now: Monotonic) -> Refusal {
         let retry_bounds = match (plan.engine, plan.route.longest_pause) {
             (Some(engine), Some(longest)) => {
-                let headroom = self.pick_group(&plan.service, &engine, longest, now);
+                let headroom = self.pick_group(plan, &engine, longest, now);
                 headroom.map_or(UNAVAILABLE_RETRY_SECONDS, |_| OVERLOAD_RETRY_SECONDS)
             }
             _ => INDEPENDENT_RETRY_SECONDS,
@@ -272,14 +272,15 @@
     /// with the most headroom, that group would be flooded.
     pub(crate) fn pick_group(
         &mut self,
-        service: &str,
+        plan: &Plan,
         engine: &Engine,
         longest: Duration,
         now: Monotonic,
     ) -> Option<Headroom> {
+        let standing = plan.standing();
         let gateways = self.roster.live(now);
         let mut headrooms = Vec::new();
-        for (group, traffic) in self.traffic(service, now) {
+        for (group, traffic) in self.traffic(&plan.service, now) {
             if !traffic.has_open_rank {
                 continue;
             }
@@ -298,10 +299,13 @@
             headroom.allowance = self.allowance(&headroom, now);
             headrooms.push(headroom);
         }
-        let sum: f64 = headrooms.iter().map(Headroom::weight).sum();
+        let sum: f64 = headrooms
+            .iter()
+            .map(|headroom| headroom.weight(standing))
+            .sum();
         let mut remaining = self.rng.random::<f64>() * sum;
         let picked = headrooms.iter().position(|headroom| {
-            let weight = headroom.weight();
+            let weight = headroom.weight(standing);
             remaining -= weight;
             weight > 0.0 && remaining <= 0.0
         });
--- a/crates/gateway/src/assign.rs
+++ b/crates/gateway/src/assign.rs
@@ -69,7 +69,7 @@
         let engine = plan.engine.zip(plan.route.longest_pause);
         let group = match (engine, group) {
             (Some((engine, longest)), None) => {
-                let headroom = self.pick_group(&plan.service, &engine, longest, now);
+                let headroom = self.pick_group(plan, &engine, longest, now);
                 headroom.map(|headroom| headroom.group)
             }
             (_, group) => group.cloned(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use auburnline_admission::feature::Feature;
+use auburnline_admission::feature::Features;
 use auburnline_core::error::Kind as ErrorKind;
 use auburnline_core::id::FailureDomainId;
 use auburnline_core::id::GroupId;
@@ -96,6 +98,8 @@
     pub(crate) all_unavailable_at: HashMap<ServiceId, Monotonic>,
     pub(crate) budget: Budget<ServiceId, ServiceId>,
     pub(crate) rng: ChaCha8Rng,
+    /// Decisions that the settings enable.
+    pub(crate) features: Features,
     /// Known upstreams and the requests in flight there.
     pub pool: Pool,
     /// This gateway and the others that it knows.
@@ -161,6 +165,7 @@
             warm_ups: WarmUps::default(),
             transfer: Transfer::default(),
             receivers: Receivers::default(),
+            features: Features::new(),
             bounds,
         }
     }
@@ -171,6 +176,11 @@
         self.started = started;
     }
 
+    /// Replaces the set of enabled features.
+    pub fn set_features(&mut self, features: Features) {
+        self.features = features;
+    }
+
     /// Replaces the operators' bounds.
     pub fn set_bounds(&mut self, bounds: Bounds) {
         self.freshness.set_bound(bounds.revocation);
@@ -254,11 +264,19 @@
         let service = self.service(route);
         let engine = table.service(&service).and_then(|service| service.engine);
         let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
+        let workspace = workspace.filter(|_| !route.is_anonymous);
+        let urgency = if self.features.contains(&Feature::Urgency) {
+            table.urgency(&service, route, workspace.as_deref())
+        } else {
+            0
+        };
         Ok(Plan {
             route: Arc::clone(route),
+            urgency,
+            spent: Duration::ZERO,
             service,
             engine,
-            workspace: if route.is_anonymous { None } else { workspace },
+            workspace,
             version: table.version(),
             age,
             arrived: now,
--- a/crates/gateway/src/headroom.rs
+++ b/crates/gateway/src/headroom.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use auburnline_admission::standing::Standing;
 use auburnline_core::id::GroupId;
 
 use crate::allowance::Allowance;
@@ -72,12 +73,16 @@
     }
 
     /// Returns the weight of the group in a random choice among groups, in streams.
-    pub(crate) fn weight(&self) -> f64 {
-        if self.is_free() { self.sendable() } else { 0.0 }
+    pub(crate) fn weight(&self, standing: Standing) -> f64 {
+        if self.is_free(standing) {
+            self.sendable()
+        } else {
+            0.0
+        }
     }
 
-    /// Returns whether this gateway may send one more stream there.
-    pub(crate) fn is_free(&self) -> bool {
+    /// Returns whether this gateway may send one more stream of this standing there.
+    pub(crate) fn is_free(&self, _standing: Standing) -> bool {
         if let Some(allowance) = self.allowance {
             return self.sendable() > 0.0 && allowance.is_left();
         }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use auburnline_admission::demand;
+use auburnline_admission::forecast;
 use auburnline_core::id::FailureDomainId;
 use auburnline_core::id::Incarnation;
 use auburnline_core::id::InstanceId;
@@ -105,4 +107,8 @@
     TransferQuery(transfer::Query),
     /// Reply to [`Datagram::TransferQuery`].
     TransferReply(transfer::Reply),
+    /// Demand at the sender, by service.
+    Demand(Vec<demand::Report>),
+    /// Forward passes of groups that the sender saw.
+    Forecasts(Vec<forecast::Record>),
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use auburnline_admission::standing::Standing;
+use auburnline_admission::standing::Urgency;
 use auburnline_core::error::Kind as ErrorKind;
 use auburnline_core::time::Monotonic;
 
@@ -37,6 +39,10 @@
     pub engine: Option<Engine>,
     /// Workspace that holds the key; `None` on an anonymous route.
     pub workspace: Option<Arc<Workspace>>,
+    /// Urgency among the requests to the service.
+    pub urgency: Urgency,
+    /// Time that the caller spent on the request before this attempt; zero if this may be its first.
+    pub spent: Duration,
     /// Version of the configuration that the plan is based on.
     pub version: u64,
     /// Age of the known state at that time; [`Duration::MAX`] if nothing was known.
@@ -47,6 +53,23 @@
     pub deadline: Monotonic,
 }
 
+impl Plan {
+    /// Returns the request's position among those that want the same capacity.
+    #[must_use]
+    pub const fn standing(&self) -> Standing {
+        Standing {
+            is_late: false,
+            urgency: self.urgency,
+        }
+    }
+
+    /// Returns until when a first event, or an answer, meets the route's objective.
+    #[must_use]
+    pub fn in_time_until(&self) -> Monotonic {
+        self.arrived + self.route.objective.saturating_sub(self.spent)
+    }
+}
+
 /// Inputs of a load-based decision, for the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Basis {
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -5,10 +5,12 @@
 //! holds a key.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use auburnline_admission::standing::Urgency;
 use auburnline_core::id::WorkspaceId;
 use auburnline_lockstep::cost::Cost;
 use auburnline_lockstep::layout::Shape;
@@ -80,6 +82,8 @@
     pub max_attempts: u32,
     /// Whether requests are accepted without a key.
     pub is_anonymous: bool,
+    /// Rank among the operators' routes; 0 is the most urgent.
+    pub priority: u8,
 }
 
 /// Published cost model of a group of ranks that run in lock-step.
@@ -178,6 +182,8 @@
 pub struct Workspace {
     /// Name used in logs.
     pub name: WorkspaceId,
+    /// Rank that replaces that of a route for requests of this workspace; `None` if it has none.
+    pub priority: Option<u8>,
 }
 
 /// One version of the configuration, from which a [`Table`] is built.
@@ -203,12 +209,15 @@
     services: BTreeMap<ServiceId, Arc<Service>>,
     keys: HashMap<String, Arc<Workspace>>,
     limits: Limits,
+    /// Distinct priorities of the requests to each service, the most urgent first.
+    priorities: HashMap<ServiceId, BTreeSet<Priority>>,
 }
 
 impl Table {
     /// Indexes one version of the configuration.
     #[must_use]
     pub fn new(configuration: Configuration) -> Table {
+        let priorities = priorities(&configuration);
         let mut routes: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
         for route in configuration.routes {
             let host = routes.entry(route.host.to_ascii_lowercase()).or_default();
@@ -227,9 +236,27 @@
             services: services.collect(),
             keys,
             limits: configuration.limits,
+            priorities,
         }
     }
 
+    /// Returns the urgency of a request to `service` among all requests to it: the workspace's
+    /// priority goes before the route's. It is 0 for all of them where no priorities differ.
+    #[must_use]
+    pub fn urgency(&self, service: &str, route: &Route, workspace: Option<&Workspace>) -> Urgency {
+        let Some(priorities) = self.priorities.get(service) else {
+            return 0;
+        };
+        let priority = Priority::of(route, workspace);
+        Urgency::try_from(priorities.range(..priority).count()).unwrap_or(Urgency::MAX)
+    }
+
+    /// Returns how many urgencies the requests to `service` have.
+    #[must_use]
+    pub fn urgencies(&self, service: &str) -> usize {
+        self.priorities.get(service).map_or(1, BTreeSet::len)
+    }
+
     /// Returns the version that the table was built from.
     #[must_use]
     pub const fn version(&self) -> Version {
@@ -279,3 +306,40 @@
         self.services.values()
     }
 }
+
+/// Priority of a request; the smallest goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Priority {
+    /// That of the workspace, or of the route if the workspace has none.
+    workspace: u8,
+    route: u8,
+}
+
+impl Priority {
+    fn of(route: &Route, workspace: Option<&Workspace>) -> Priority {
+        let workspace = workspace.and_then(|workspace| workspace.priority);
+        Priority {
+            workspace: workspace.unwrap_or(route.priority),
+            route: route.priority,
+        }
+    }
+}
+
+/// Returns the distinct priorities of the requests to each service.
+fn priorities(configuration: &Configuration) -> HashMap<ServiceId, BTreeSet<Priority>> {
+    let mut priorities: HashMap<ServiceId, BTreeSet<Priority>> = HashMap::new();
+    for route in &configuration.routes {
+        let workspaces = configuration.workspaces.iter();
+        let workspaces = workspaces.map(|(workspace, _)| Priority::of(route, Some(workspace)));
+        let of_route: BTreeSet<Priority> = if route.is_anonymous {
+            BTreeSet::from([Priority::of(route, None)])
+        } else {
+            workspaces.collect()
+        };
+        for target in &route.targets {
+            let of_service = priorities.entry(Arc::clone(&target.service)).or_default();
+            of_service.extend(&of_route);
+        }
+    }
+    priorities
+}
--- a/crates/gateway/tests/all/route.rs
+++ b/crates/gateway/tests/all/route.rs
@@ -1,7 +1,9 @@
 //! Lookups in a configuration table.
 
 use auburnline_gateway::route::Kind;
+use auburnline_gateway::route::Route;
 use auburnline_gateway::route::Table;
+use auburnline_gateway::route::Workspace;
 use googletest::prelude::*;
 
 use crate::support::configuration;
@@ -54,3 +56,36 @@
     let found = table.route("desk.example", "/b/c").expect("a route");
     assert_that!(found.prefix, eq("/"));
 }
+
+/// Guards against a workspace whose priority hides that of the routes: most workspaces have the
+/// same one.
+#[gtest]
+fn a_workspaces_priority_goes_before_that_of_a_route_which_orders_the_rest() {
+    let stream = Kind::Stream { resumable: true };
+    let ranked = |prefix, priority| Route {
+        priority,
+        ..route(prefix, "model", stream)
+    };
+    let routes = vec![ranked("/first/", 0), ranked("/second/", 2)];
+    let mut configuration = configuration(1, routes.clone());
+    let workspace = |name: &str, priority| Workspace {
+        name: name.into(),
+        priority: Some(priority),
+    };
+    let (urgent, usual) = (workspace("urgent", 0), workspace("usual", 1));
+    configuration.workspaces = vec![(urgent.clone(), Vec::new()), (usual.clone(), Vec::new())];
+    let table = Table::new(configuration);
+    let urgency = |route, workspace| table.urgency("model", route, Some(workspace));
+    expect_that!(table.urgencies("model"), eq(4));
+    expect_that!(urgency(&routes[0], &urgent), eq(0));
+    expect_that!(urgency(&routes[1], &urgent), eq(1));
+    expect_that!(urgency(&routes[0], &usual), eq(2));
+    expect_that!(urgency(&routes[1], &usual), eq(3));
+}
+
+#[gtest]
+fn requests_of_equal_priority_have_one_urgency() {
+    let table = table(1);
+    expect_that!(table.urgencies("model"), eq(1));
+    expect_that!(table.urgencies("unknown"), eq(1));
+}
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -54,6 +54,7 @@
         }],
         max_attempts: 2,
         is_anonymous: false,
+        priority: 1,
     }
 }
 
@@ -65,6 +66,7 @@
     };
     let workspace = Workspace {
         name: "valley".into(),
+        priority: None,
     };
     Configuration {
         version,
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -263,6 +263,7 @@
         }
         Datagram::TransferQuery(query) => transfer::answer(shared, &query, from),
         Datagram::TransferReply(reply) => transfer::receive(shared, reply, from),
+        Datagram::Demand(_) | Datagram::Forecasts(_) => {}
     }
 }
 
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -83,6 +83,7 @@
     let roster = Roster::new(entry, settings.seeds.clone());
     let domain = settings.failure_domain.as_str().into();
     let mut gateway = Gateway::new(domain, settings.bounds(), roster, incarnation);
+    gateway.set_features(settings.features.clone());
     let started = SystemTime::now().duration_since(UNIX_EPOCH);
     gateway.set_start_time(started.unwrap_or(Duration::MAX));
     let shared = Rc::new(Shared::new(clock, gateway, dialect));
@@ -180,6 +181,7 @@
                 }
                 let mut gateway = shared.gateway();
                 gateway.set_bounds(settings.bounds());
+                gateway.set_features(settings.features.clone());
                 gateway.roster.set_seeds(settings.seeds.clone());
                 drop(gateway);
                 known = settings;
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use auburnline_admission::feature::Features;
 use auburnline_gateway::gateway::Bounds;
 use auburnline_settings::Error;
 use auburnline_settings::Fault;
@@ -56,6 +57,9 @@
     pub heartbeat_ms: u64,
     /// Maximum lifetime of a discovery response, in ms.
     pub longest_answer_ms: u64,
+    /// Optional decisions that are enabled; none if absent.
+    #[serde(default)]
+    pub features: Features,
 }
 
 impl Settings {
