A rank that leaves orders unanswered is not waited for by a held group

Ruled out: long passes by load (passes of 80 to 130 ms between the holds) and a silent leader alone (two of three groups had one that ran). A change is held only once all ranks answered their orders for a second. The two new tests fail with the check left out.

--- a/crates/lockstep/examples/cost.rs
+++ b/crates/lockstep/examples/cost.rs
@@ -75,6 +75,7 @@
         running: 3,
         waiting: 0,
         slowdown_percent: NOMINAL_SLOWDOWN_PERCENT,
+        is_unresponsive: false,
     }
 }
 
--- a/crates/lockstep/src/change.rs
+++ b/crates/lockstep/src/change.rs
@@ -1,7 +1,7 @@
 //! One change of a group's map: a state machine over the reported states of all ranks.
 //!
 //! 1. *Prepare*: each rank copies the weights of the new map and keeps serving.
-//! 2. *Hold*: once all ranks were seen prepared, one rank is ordered to hold the group before a future pass S.
+//! 2. *Hold*: once all ranks were seen prepared and answer their orders, one rank is ordered to hold the group before a future pass S.
 //! 3. *Arm*: only once the hold was seen, each rank is ordered to switch as S begins: first the held rank, then,
 //!    once it was seen armed, the others. Until it is ordered to arm, its own sidecar may end the hold (see
 //!    [`crate::standby`]).
@@ -160,6 +160,12 @@
             if !waiting.is_empty() {
                 return orders(&waiting, Order::Prepare(self.version));
             }
+            // The group would stand still until such a rank carries out its order to arm. The order
+            // is repeated, without effect, to notice when the rank answers again.
+            let unresponsive: Vec<_> = unresponsive(states).collect();
+            if !unresponsive.is_empty() {
+                return orders(&unresponsive, Order::Prepare(self.version));
+            }
             if newest + ahead <= self.floor {
                 // Wait for passes to begin. A group that runs none gains nothing from the change.
                 return Progress::Orders(Vec::new());
@@ -244,6 +250,11 @@
     states.iter().find(|state| state.rank == holder)?.held
 }
 
+fn unresponsive(states: &[&State]) -> impl Iterator<Item = Rank> {
+    let unresponsive = states.iter().filter(|state| state.is_unresponsive);
+    unresponsive.map(|state| state.rank)
+}
+
 fn unarmed(states: &[&State], switch: Switch) -> impl Iterator<Item = Rank> {
     let waiting = states.iter().filter(move |state| {
         let is_armed = state.armed == Some(switch);
--- a/crates/lockstep/src/rank.rs
+++ b/crates/lockstep/src/rank.rs
@@ -51,6 +51,8 @@
     pub waiting: u32,
     /// Slowdown factor of its part of a pass, in percent; 100 if it is not slow.
     pub slowdown_percent: u16,
+    /// Whether the engine left an order unanswered of late, however often it was sent.
+    pub is_unresponsive: bool,
 }
 
 impl State {
--- a/crates/lockstep/tests/all/coordinator.rs
+++ b/crates/lockstep/tests/all/coordinator.rs
@@ -5,7 +5,9 @@
 use auburnline_core::id::Rank;
 use auburnline_core::id::Step;
 use auburnline_lockstep::Coordinator;
+use auburnline_lockstep::change::Change;
 use auburnline_lockstep::change::Order;
+use auburnline_lockstep::change::Progress;
 use auburnline_lockstep::coordinator::Service;
 use auburnline_lockstep::cost::Cost;
 use auburnline_lockstep::layout::Shape;
@@ -347,3 +349,48 @@
     assert_that!(world.coordinator.change_version(), none());
     assert_that!(world.coordinator.is_open(), eq(false));
 }
+
+/// Some ranks leave their orders unanswered for seconds and carry them out a second late. In a users' deployment a group
+/// was held for that second at each change, and all its streams paused.
+#[gtest]
+fn a_rank_that_answers_no_orders_is_not_waited_for_by_a_held_group() {
+    let mut world = World::new();
+    world.engines[1].is_unresponsive = true;
+    let is_hold = |dispatch: &Dispatch| matches!(dispatch.order, Order::Hold(_));
+    for _ in 0..40 {
+        let dispatches = world.tick();
+        assert_that!(dispatches.iter().any(is_hold), eq(false));
+    }
+    assert_that!(world.begun, not(is_empty()));
+    assert_that!(world.done, is_empty());
+    world.engines[1].is_unresponsive = false;
+    for _ in 0..40 {
+        world.tick();
+    }
+    assert_that!(world.done, not(is_empty()));
+}
+
+/// The same for a change that is prepared when the rank answers again.
+#[gtest]
+fn a_rank_that_answers_again_is_asked_so_while_the_change_is_prepared() {
+    let mut change = Change::new(1, 7, 0);
+    let prepared = |is_unresponsive| Engine {
+        prepared: Some(7),
+        highest: 7,
+        is_unresponsive,
+        ..Engine::default()
+    };
+    let advance = |change: &mut Change, is_unresponsive| {
+        let states = [
+            prepared(false).state(0, 2, 10),
+            prepared(is_unresponsive).state(1, 2, 10),
+        ];
+        change.advance(&states.iter().collect::<Vec<_>>(), 0, 2)
+    };
+    let repeated = Progress::Orders(vec![(1, Order::Prepare(7))]);
+    assert_that!(advance(&mut change, true), eq(&repeated));
+    assert_that!(
+        advance(&mut change, false),
+        eq(&Progress::Orders(vec![(0, Order::Hold(12))]))
+    );
+}
--- a/crates/lockstep/tests/all/support.rs
+++ b/crates/lockstep/tests/all/support.rs
@@ -16,6 +16,8 @@
     pub(crate) prepared: Option<Version>,
     pub(crate) armed: Option<Switch>,
     pub(crate) held: Option<Step>,
+    /// Whether it leaves orders unanswered.
+    pub(crate) is_unresponsive: bool,
 }
 
 impl Engine {
@@ -56,6 +58,7 @@
             running: 1,
             waiting: 0,
             slowdown_percent: NOMINAL_SLOWDOWN_PERCENT,
+            is_unresponsive: self.is_unresponsive,
         }
     }
 }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -19,6 +19,7 @@
 use auburnline_lockstep::output::Rotation;
 use auburnline_lockstep::query::Schedule;
 use auburnline_lockstep::rank::Epoch;
+use auburnline_lockstep::rank::State;
 use auburnline_lockstep::rank::Version;
 use auburnline_lockstep::standby::Standby;
 use auburnline_lockstep::tally::Tally;
@@ -29,6 +30,7 @@
 use crate::engine::Engine;
 use crate::engine::Report;
 use crate::leader::Leader;
+use crate::order::send_order;
 use crate::settings::Settings;
 use crate::sidecar::following::ChangeState;
 
@@ -47,6 +49,9 @@
 /// Time of fast polling after an order to prepare. A plan takes at most 0.3 s to copy, and the change waits until the
 /// last rank is seen prepared.
 const FAST_POLL_TIME_PREPARE: Duration = Duration::from_millis(700);
+/// Time after an unanswered order for which the rank counts as unresponsive. An engine that hangs answers some orders in
+/// between; orders to it are repeated several times within this time.
+const UNRESPONSIVE_TIME: Duration = Duration::from_secs(1);
 /// Size of the receive buffer; no longer datagram is received whole.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 
@@ -94,6 +99,8 @@
     epoch: Option<Epoch>,
     /// Start of the rank in Unix milliseconds, as reported last.
     born: Option<u64>,
+    /// When the rank last left an order unanswered.
+    unanswered_at: Option<Monotonic>,
 }
 
 impl<E: Engine> Sidecar<E> {
@@ -125,6 +132,7 @@
             group: None,
             epoch: None,
             born: None,
+            unanswered_at: None,
         }
     }
 
@@ -177,7 +185,10 @@
         let rank_report = RankReport {
             born: report.born,
             group: report.group,
-            state: report.state,
+            state: State {
+                is_unresponsive: self.is_unresponsive(),
+                ..report.state
+            },
             failure_domain: self.settings.failure_domain.as_str().into(),
             activations,
             held,
@@ -266,6 +277,26 @@
         .ok()
     }
 
+    /// Sends an order to the own rank's engine.
+    async fn order(&mut self, epoch: Epoch, order: Order, layout: Option<&Layout>) {
+        let reply = send_order(&self.engine, epoch, order, layout).await;
+        if reply.is_some() {
+            return;
+        }
+        if !self.is_unresponsive() {
+            log::warn!(target: "engine", epoch, order:?; "leaves orders unanswered");
+            metrics::counter!("auburnline_unresponsive_total").increment(1);
+        }
+        self.unanswered_at = Some(self.clock.now());
+    }
+
+    /// Returns whether the rank left an order unanswered of late.
+    fn is_unresponsive(&self) -> bool {
+        let now = self.clock.now();
+        self.unanswered_at
+            .is_some_and(|at| now.saturating_sub(at) < UNRESPONSIVE_TIME)
+    }
+
     /// Polls the rank fast until the effect of `order` should be visible.
     fn poll_fast_after(&mut self, order: Order) {
         let time = match order {
--- a/crates/sidecar/src/sidecar/following.rs
+++ b/crates/sidecar/src/sidecar/following.rs
@@ -23,7 +23,6 @@
 use super::REPORT_PERIOD;
 use super::Sidecar;
 use crate::engine::Engine;
-use crate::order::send_order;
 
 /// Time of fast polling at the standby after the notice of a hold: until the hold is over, or the leader was silent
 /// long enough for the standby to act.
@@ -40,6 +39,7 @@
     prepared: Option<Version>,
     armed: Option<Switch>,
     held: Option<Step>,
+    is_unresponsive: bool,
 }
 
 impl ChangeState {
@@ -50,6 +50,7 @@
             prepared: state.prepared,
             armed: state.armed,
             held: state.held,
+            is_unresponsive: state.is_unresponsive,
         }
     }
 }
@@ -103,7 +104,7 @@
         let epoch = notice.epoch;
         if let Some(step) = self.standby.end_hold(own) {
             log::info!(target: "experts", group, epoch, step; "hold ended, leader is silent");
-            send_order(&self.engine, epoch, Order::Release(step), None).await;
+            self.order(epoch, Order::Release(step), None).await;
             return;
         }
         let orders = self.standby.orders(own);
@@ -113,7 +114,7 @@
         }
         for (rank, order) in orders {
             if rank == own.rank {
-                send_order(&self.engine, epoch, order, None).await;
+                self.order(epoch, order, None).await;
             } else if let Some((_, address)) = notice.sidecars.iter().find(|(of, _)| *of == rank) {
                 let command = Command {
                     group: notice.group.clone(),
@@ -166,13 +167,8 @@
         {
             log::info!(target: "experts", group = command.group.as_str(), epoch = command.epoch, step = switch.step; "order to arm refused, the hold was ended");
             // The order that ended the hold may have been lost, and a leader that is back waits for this rank.
-            send_order(
-                &self.engine,
-                command.epoch,
-                Order::Release(switch.step),
-                None,
-            )
-            .await;
+            self.order(command.epoch, Order::Release(switch.step), None)
+                .await;
             return;
         }
         let layout = match self.resolve_layout(command.order, command.layout) {
@@ -183,7 +179,8 @@
                 return;
             }
         };
-        send_order(&self.engine, command.epoch, command.order, layout.as_ref()).await;
+        self.order(command.epoch, command.order, layout.as_ref())
+            .await;
         self.poll_fast_after(command.order);
         self.last_report = None;
         self.report_to = Some(report_to);
--- a/crates/sidecar/src/sidecar/leading.rs
+++ b/crates/sidecar/src/sidecar/leading.rs
@@ -157,7 +157,7 @@
         for dispatch in own {
             self.poll_fast_after(dispatch.order);
             let layout = dispatch.layout.as_deref();
-            send_order(&self.engine, dispatch.epoch, dispatch.order, layout).await;
+            self.order(dispatch.epoch, dispatch.order, layout).await;
         }
         // Repeated, because the first notice may have been lost and because the standby polls the held rank on a
         // repetition.
