--- a/crates/admission/src/feature.rs
+++ b/crates/admission/src/feature.rs
@@ -21,6 +21,8 @@
     DemandShares,
     /// Gateways tell each other how long the forward passes of each group take.
     SharedForecasts,
+    /// A stream that shows nothing while others of its group go on is resumed at another rank.
+    SilenceDetection,
     /// A gateway that starts holds requests until it has a configuration.
     StartupHold,
 }
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -131,6 +131,11 @@
         }
     }
 
+    /// Returns when an event of one of a group's streams last arrived here.
+    pub(crate) fn last_event(&self, group: &GroupId) -> Option<Monotonic> {
+        self.last_events.get(group).copied()
+    }
+
     /// Records that a stream of an upstream broke off; returns whether the group itself seems
     /// broken, since a stream of another of its upstreams just broke off too.
     pub fn record_break(&mut self, group: &GroupId, upstream: &UpstreamId, now: Monotonic) -> bool {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod restore;
 mod route;
 mod settled;
+mod silence;
 mod spread;
 mod start;
 mod support;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -240,7 +240,13 @@
                 let sent = client.send_within(request, Connection::Fresh, time_limit);
                 tokio::select! {
                     sent = timeout(time_limit, sent) => sent,
-                    () = self.straggler_detected(&upstream, self.sends + 1) => return self.abandon(&flight),
+                    () = self.straggler_detected(&upstream, self.sends + 1) => {
+                        return self.abandon("rank became a straggler before it answered", &flight);
+                    }
+                    () = self.silence_detected(&upstream, flight.began(), self.sends + 1) => {
+                        flight.failed();
+                        return self.abandon("rank shows nothing while its group goes on", &flight);
+                    }
                 }
             }
             Err(failure) => Ok(Err(error_stack::Report::new(failure))),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -47,8 +47,8 @@
     End,
     /// The response was interrupted, for this reason.
     Break(&'static str),
-    /// The rank has become a straggler, and the stream should migrate.
-    Slow,
+    /// The rank has become a straggler or hangs, and the stream should migrate.
+    Slow(&'static str),
 }
 
 /// Handles a request whose response is a stream.
@@ -109,8 +109,8 @@
             match self.next().await {
                 Next::Events(bytes) => return Some(Ok(Frame::data(bytes))),
                 Next::End => return self.end(),
-                Next::Slow => {
-                    if !self.migrate().await {
+                Next::Slow(cause) => {
+                    if !self.migrate(cause).await {
                         self.is_over = true;
                         self.log("broken");
                         return Some(Err(Broken("no rank could resume the stream")));
@@ -135,13 +135,18 @@
     async fn next(&mut self) -> Next {
         loop {
             let left = self.exchange.time_left();
+            let since = self.last_at.unwrap_or_default().max(self.flight.began());
             let Some(body) = &mut self.body else {
                 return Next::Break("no upstream could resume the stream");
             };
             let part = tokio::select! {
                 part = timeout(left, body.next()) => part,
                 () = self.exchange.straggler_detected(self.flight.target(), self.exchange.sends) => {
-                    return Next::Slow;
+                    return Next::Slow("rank became a straggler; resuming at another rank");
+                }
+                () = self.exchange.silence_detected(self.flight.target(), since, self.exchange.sends) => {
+                    self.flight.failed();
+                    return Next::Slow("rank shows nothing while its group goes on; resuming at another rank");
                 }
             };
             let part = match part {
@@ -202,12 +207,9 @@
 
     /// Migrates the stream to another rank of its group, so that the group no longer waits for the straggler; returns whether
     /// that succeeded.
-    async fn migrate(&mut self) -> bool {
+    async fn migrate(&mut self, cause: &'static str) -> bool {
         let group = self.flight.group().clone();
-        self.exchange.log_failure(
-            "rank became a straggler; resuming at another rank",
-            &self.flight,
-        );
+        self.exchange.log_failure(cause, &self.flight);
         counter!("auburnline_moved_streams_total").increment(1);
         // Dropping the response cancels the request at the straggler, so that the group no longer waits for it.
         self.body = None;
