Event streams: no part of an oversized event reaches a caller twice

Cause: Splitter forgot an event of more than 256 KiB once its first part had left the buffer. Its id was not kept, so a stream resumed right after it got the event again; a resumed run passed on parts of events that the caller had; and an end divided between two parts was missed. A stream that broke within such an event was resumed although the caller held half of it.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -140,7 +140,7 @@
             };
             let part = tokio::select! {
                 part = timeout(left, body.next()) => part,
-                () = self.exchange.straggler_detected(self.flight.target(), self.exchange.sends) => {
+                () = self.exchange.straggler_detected(self.flight.target(), self.exchange.sends), if !self.splitter.is_within_event() => {
                     return Next::Slow;
                 }
             };
@@ -216,7 +216,9 @@
 
     /// Resumes the stream at another upstream after a failure; returns whether that succeeded.
     async fn resume(&mut self) -> bool {
-        self.exchange.may_rerun() && self.resume_within(None).await
+        !self.splitter.is_within_event()
+            && self.exchange.may_rerun()
+            && self.resume_within(None).await
     }
 
     /// Sends the request again for the events after the last whole one; returns whether a successful response began.
