Groups: the one that was silent longest makes room for a new one

Cause: ids of groups were never removed, so that after 1,024 different ones a new group was ignored for good. Now a new one takes the place of the one silent longest, if that has been silent for the six seconds after which nothing is decided by it. group::a_new_group_takes_the_place_of_the_one_that_was_silent_longest failed before and passes now.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -75,7 +75,7 @@
     pub fn apply_digest(&mut self, digest: &Digest, now: Monotonic) -> bool {
         let group = GroupId::from(digest.group.as_str());
         let is_known = self.states.contains_key(&group);
-        if !is_known && self.states.len() >= MAX_GROUPS {
+        if !is_known && self.states.len() >= MAX_GROUPS && !self.forget_silent(now) {
             return false;
         }
         let is_open = digest.is_open;
@@ -99,6 +99,25 @@
         before.is_none_or(|before| before.digest.is_open != is_open)
     }
 
+    /// Forgets the group that was silent longest, so that nothing is decided by it any more;
+    /// returns whether there is one.
+    fn forget_silent(&mut self, now: Monotonic) -> bool {
+        let silent = |group: &GroupId| self.silent(group, now).unwrap_or_default();
+        let longest = self.states.keys().max_by_key(|group| silent(group));
+        let longest = longest.filter(|group| silent(group) >= STALL_RETRY_AFTER);
+        let Some(group) = longest.cloned() else {
+            return false;
+        };
+        self.states.remove(&group);
+        self.by_address.retain(|_, of| *of != group);
+        self.marked_unavailable.remove(&group);
+        self.unavailable_since.remove(&group);
+        self.last_events.remove(&group);
+        self.last_breaks.remove(&group);
+        self.stalled.remove(&group);
+        true
+    }
+
     /// Returns the newest reports, for a gateway that has just started.
     pub fn recent_reports(&self, now: Monotonic) -> impl Iterator<Item = &Digest> {
         let recent = self
--- a/crates/gateway/tests/all/group.rs
+++ b/crates/gateway/tests/all/group.rs
@@ -105,3 +105,25 @@
     assert_that!(groups.record_break(&group, &one, millis(560)), eq(true));
     assert_that!(groups.is_unavailable("g0", millis(600)), eq(true));
 }
+
+/// Guards against a gateway that ignores new groups for good: group ids change whenever leaders
+/// start again, for as long as the gateway runs.
+#[gtest]
+fn a_new_group_takes_the_place_of_the_one_that_was_silent_longest() {
+    let mut groups = Groups::default();
+    for number in 0..1_024 {
+        let name = format!("g{number}");
+        groups.apply_digest(&digest(&name, true, &[number]), millis(u64::from(number)));
+    }
+    // All of them were heard a moment ago, so none is forgotten.
+    groups.apply_digest(&digest("early", true, &[2_000]), millis(1_100));
+    let address = |port: u16| ([10, 0, 0, 1], port).into();
+    expect_that!(groups.of(address(2_000)), none());
+    groups.apply_digest(&digest("g0", true, &[0]), millis(8_000));
+    groups.apply_digest(&digest("late", true, &[2_000]), millis(8_000));
+    let late = groups.of(address(2_000)).map(|group| &**group);
+    expect_that!(late, some(eq("late")));
+    expect_that!(groups.of(address(0)).map(|group| &**group), some(eq("g0")));
+    expect_that!(groups.of(address(1)), none());
+    expect_that!(groups.of(address(2)).map(|group| &**group), some(eq("g2")));
+}
