Pool: counts of the last neighbour go when it falls silent

Cause: counts of silent neighbours were dropped only when another one reported, so that those of the last one stayed. Gateway::tick drops them now; the counts have a file of their own, for length. gateway::counts_of_the_last_neighbour_are_dropped_when_it_falls_silent failed before ((0, 5) in place of (0, 0)) and passes now.

That an entry of an earlier start replaces a later one is left as it is: the store's order decides. Its test passes before and after.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -213,7 +213,7 @@
     }
 
     /// Does periodic work: adjusts this gateway's share of the retry budget to the size of the
-    /// fleet, and drops backoffs and warm-ups that are over.
+    /// fleet, and drops backoffs and warm-ups that are over and counts of silent neighbours.
     pub fn tick(&mut self, now: Monotonic) {
         // Drops full accounts, so that these start again with the reserve if it grows now.
         self.budget.tick(now);
@@ -222,6 +222,7 @@
         self.budget
             .set_settings(retry_budget::settings(instance, &self.bounds, fleet));
         self.backoffs.forget(now);
+        self.pool.forget_neighbours(now);
         self.end_transfer(now);
         self.forget_warm(now);
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,6 +6,7 @@
 //! runs at an address: of several listed there, all but the newest have ended. [`crate::choice`]
 //! selects among the upstreams.
 
+mod counts;
 mod restore;
 
 use std::collections::BTreeMap;
@@ -37,8 +38,6 @@
 /// Requests that one gateway has in flight, by [`tag`] of the upstream.
 pub type Counts = Vec<(u32, u32)>;
 
-/// Age at which a neighbour's counts are dropped; by then several of its messages are missing.
-const MAX_COUNTS_AGE: Duration = Duration::from_millis(1_500);
 /// Whether an upstream accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
@@ -269,29 +268,6 @@
         removed
     }
 
-    /// Sets the requests that a neighbour has in flight.
-    pub fn set_neighbour_counts(&mut self, neighbour: u64, counts: Counts, now: Monotonic) {
-        let counts = counts.into_iter().collect();
-        self.neighbours.insert(neighbour, (now, counts));
-        self.neighbours
-            .retain(|_, (at, _)| now.saturating_sub(*at) < MAX_COUNTS_AGE);
-        self.neighbour_sums.clear();
-        for (_, counts) in self.neighbours.values() {
-            for (tag, count) in counts {
-                let sum = self.neighbour_sums.entry(*tag).or_default();
-                *sum = sum.saturating_add(*count);
-            }
-        }
-    }
-
-    /// Returns the number of neighbours that recently reported their requests in flight.
-    pub(crate) fn neighbours(&self, now: Monotonic) -> usize {
-        let heard = self.neighbours.values();
-        heard
-            .filter(|(at, _)| now.saturating_sub(*at) < MAX_COUNTS_AGE)
-            .count()
-    }
-
     /// Returns this gateway's requests in flight, for at most `most` upstreams.
     #[must_use]
     pub fn counts(&self, most: usize) -> Counts {
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -14,6 +14,7 @@
 use auburnline_gateway::upstream::Outcome;
 use auburnline_gateway::upstream::State;
 use auburnline_gateway::upstream::Upstream;
+use auburnline_gateway::upstream::tag;
 use auburnline_lockstep::message::MembersQuery;
 use auburnline_lockstep::message::Message;
 use googletest::prelude::*;
@@ -428,3 +429,16 @@
     let bytes = postcard::to_stdvec(&Message::Members(members)).expect("bytes");
     expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
 }
+
+/// Guards against an upstream that seems busy for good: the last neighbour falls silent, so that
+/// no other one's counts take the place of its counts.
+#[gtest]
+fn counts_of_the_last_neighbour_are_dropped_when_it_falls_silent() {
+    let mut gateway = gateway(1);
+    let counts = vec![(tag("desk-0"), 5)];
+    gateway.pool.set_neighbour_counts(1, counts, millis(1_000));
+    gateway.tick(millis(2_400));
+    expect_that!(gateway.pool.in_flight("desk"), eq((0, 5)));
+    gateway.tick(millis(2_600));
+    expect_that!(gateway.pool.in_flight("desk"), eq((0, 0)));
+}
--- a/crates/gateway/tests/all/upstream.rs
+++ b/crates/gateway/tests/all/upstream.rs
@@ -264,3 +264,22 @@
     assert_that!(pool.insert(started(Some(2_000))), some(anything()));
     assert_that!(pool.in_flight("desk").0, eq(0));
 }
+
+/// The store's order decides, so that a machine whose clock was set back can leave; gateways that
+/// start later know only the entry that was written last.
+#[gtest]
+fn the_entry_that_was_written_last_counts_even_if_it_tells_an_earlier_start() {
+    let mut pool = Pool::default();
+    let mut told = upstream("u0", "desk", State::Ready);
+    told.born = Some(2_000);
+    pool.insert(told.clone());
+    told.born = Some(1_000);
+    pool.insert(told.clone());
+    expect_that!(pool.ready("desk"), eq(1));
+    told.state = State::Draining;
+    expect_that!(
+        pool.insert(told),
+        some(matches_pattern!(Change::Leaving(anything())))
+    );
+    expect_that!(pool.ready("desk"), eq(0));
+}
