Routes whose targets all have weight zero are refused, and say so

Cause: the first target got every request, though its operator gave it none. Refusing the whole configuration would keep the one before in force, with keys that the new one takes away; so each request of such a route is refused as not run, with the time of a service without upstreams and the reason in the log. Sums of weights past u32 saturate in place of ending the process in debug builds. gateway::a_route_whose_targets_all_have_no_share_is_refused failed before and passes now.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -262,7 +262,11 @@
                 return Err(Refusal::new(ErrorKind::Unauthorized, "unknown key"));
             }
         }
-        let service = self.service(route);
+        let Some(service) = self.service(route) else {
+            let reason = "no target of the route has a weight";
+            let refusal = Refusal::new(ErrorKind::Unreachable, reason);
+            return Err(refusal.with_retry_after(NO_UPSTREAM_RETRY));
+        };
         let engine = table.service(&service).and_then(|service| service.engine);
         let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
         let workspace = workspace.filter(|_| !route.is_anonymous);
@@ -286,8 +290,8 @@
     }
 
     /// Draws one of a route's services by weight, among those with upstreams that accept work if
-    /// there are any.
-    fn service(&mut self, route: &Route) -> ServiceId {
+    /// there are any; `None` if no target has a weight.
+    fn service(&mut self, route: &Route) -> Option<ServiceId> {
         let usable = |service: &str| self.pool.ready(service) > 0;
         let mut targets: Vec<_> = route.targets.iter().collect();
         if targets
@@ -296,17 +300,16 @@
         {
             targets.retain(|target| usable(&target.service));
         }
-        let sum: u32 = targets.iter().map(|target| target.weight).sum();
-        let mut drawn = self.rng.random_range(0..sum.max(1));
+        let weights = targets.iter().map(|target| target.weight);
+        let sum = weights.fold(0, u32::saturating_add);
+        let mut drawn = (sum > 0).then(|| self.rng.random_range(0..sum))?;
         for target in &targets {
             if drawn < target.weight {
-                return Arc::clone(&target.service);
+                return Some(Arc::clone(&target.service));
             }
             drawn -= target.weight;
         }
-        targets
-            .first()
-            .map_or_else(|| Arc::from(""), |target| Arc::clone(&target.service))
+        None
     }
 
     /// Returns the cost model of a service's engines, if it has one.
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -11,6 +11,7 @@
 use auburnline_gateway::request::Plan;
 use auburnline_gateway::request::Refusal;
 use auburnline_gateway::request::Request;
+use auburnline_gateway::route;
 use auburnline_gateway::upstream::Outcome;
 use auburnline_gateway::upstream::State;
 use auburnline_gateway::upstream::Upstream;
@@ -442,3 +443,29 @@
     gateway.tick(millis(2_600));
     expect_that!(gateway.pool.in_flight("desk"), eq((0, 0)));
 }
+
+/// Guards against a service that an operator gave no share of a route and that gets all of it.
+#[gtest]
+fn a_route_whose_targets_all_have_no_share_is_refused() {
+    let mut gateway = gateway(1);
+    let mut shared = support::route("/desk/", "desk", route::Kind::Unsafe);
+    let target = |service: &str, weight| route::Target {
+        service: service.into(),
+        weight,
+    };
+    shared.targets = vec![target("desk", 0), target("model", 0)];
+    gateway.set_table(route::Table::new(support::configuration(
+        4,
+        vec![shared.clone()],
+    )));
+    let refused = ask(&mut gateway, "/desk/1", Some("key-1"), 1_000).err();
+    let refused = refused.expect("a refusal");
+    expect_that!(refused.kind, eq(Kind::Unreachable));
+    expect_that!(refused.reason, eq("no target of the route has a weight"));
+    expect_that!(refused.retry_after, some(anything()));
+    // Shares may add up to more than one of them can be.
+    shared.targets = vec![target("desk", u32::MAX), target("desk", u32::MAX)];
+    gateway.set_table(route::Table::new(support::configuration(5, vec![shared])));
+    let plan = ask(&mut gateway, "/desk/1", Some("key-1"), 1_000);
+    expect_that!(plan.map(|plan| plan.service), ok(eq(&"desk".into())));
+}
