--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -13,6 +13,7 @@
 use auburnline_admission::standing::Urgency;
 use auburnline_core::id::WorkspaceId;
 use auburnline_lockstep::cost::Cost;
+use auburnline_lockstep::cost::scaled;
 use auburnline_lockstep::layout::Shape;
 use serde::Deserialize;
 use serde::Serialize;
@@ -117,7 +118,7 @@
     /// Returns the duration of a pass without requests.
     #[must_use]
     pub fn base(&self) -> Duration {
-        self.step * self.steps
+        self.step.saturating_mul(self.steps)
     }
 
     /// Returns the number of passes that decode an answer of mean length; at least 1.
@@ -130,15 +131,17 @@
     #[must_use]
     pub fn decode_time(&self) -> Duration {
         let context = (self.mean_prompt_tokens + self.mean_answer_tokens / 2.0) / 1_000.0;
-        let request = self.per_request + self.per_context.mul_f64(context);
-        request * self.steps
+        let request = self
+            .per_request
+            .saturating_add(scaled(self.per_context, context));
+        request.saturating_mul(self.steps)
     }
 
     /// Returns the prefill time of a prompt of mean length, averaged over its request's passes.
     #[must_use]
     pub fn prefill_time(&self) -> Duration {
         let prompt = self.mean_prompt_tokens / self.prefill_rate.max(1.0);
-        Duration::try_from_secs_f64(prompt / self.passes()).unwrap_or_default()
+        scaled(Duration::from_secs(1), prompt / self.passes())
     }
 
     /// Returns the cost of a pass, for callers whose objective is a pause of at most
@@ -147,7 +150,7 @@
     pub fn cost(&self, longest_pause: Duration) -> Cost {
         Cost {
             base: self.base(),
-            request: self.decode_time() + self.prefill_time(),
+            request: self.decode_time().saturating_add(self.prefill_time()),
             expert_part: self.expert_part,
             longest_pause,
         }
--- a/crates/gateway/tests/all/route.rs
+++ b/crates/gateway/tests/all/route.rs
@@ -1,11 +1,15 @@
 //! Lookups in a configuration table.
 
+use std::time::Duration;
+
+use auburnline_gateway::route::Engine;
 use auburnline_gateway::route::Kind;
 use auburnline_gateway::route::Route;
 use auburnline_gateway::route::Table;
 use auburnline_gateway::route::Workspace;
 use googletest::prelude::*;
 
+use crate::support::ENGINE;
 use crate::support::configuration;
 use crate::support::route;
 use crate::support::table;
@@ -89,3 +93,27 @@
     expect_that!(table.urgencies("model"), eq(1));
     expect_that!(table.urgencies("unknown"), eq(1));
 }
+
+/// Guards against a configuration whose durations are each valid and end the process when they
+/// are multiplied.
+#[gtest]
+fn a_cost_model_of_enormous_durations_is_reckoned_with() {
+    let enormous = Engine {
+        step: Duration::MAX,
+        per_request: Duration::MAX,
+        per_context: Duration::MAX,
+        prefill_rate: f64::MIN_POSITIVE,
+        mean_prompt_tokens: f64::MAX,
+        mean_answer_tokens: f64::MAX,
+        ..ENGINE
+    };
+    expect_that!(enormous.base(), eq(Duration::MAX));
+    expect_that!(enormous.decode_time(), eq(Duration::MAX));
+    expect_that!(enormous.cost(Duration::MAX).request, eq(Duration::MAX));
+    let invalid = Engine {
+        mean_prompt_tokens: f64::NAN,
+        mean_answer_tokens: -1.0,
+        ..ENGINE
+    };
+    expect_that!(invalid.decode_time(), eq(ENGINE.per_request * ENGINE.steps));
+}
--- a/crates/lockstep/src/cost.rs
+++ b/crates/lockstep/src/cost.rs
@@ -14,6 +14,19 @@
 /// for callers, while each copied expert has its cost.
 const SHORT_PASS_SHARE: f64 = 0.6;
 
+/// Returns `duration` times `factor`: zero if that is no duration, and the longest one if it is
+/// longer, since published cost models may hold any numbers.
+#[must_use]
+pub fn scaled(duration: Duration, factor: f64) -> Duration {
+    let seconds = duration.as_secs_f64() * factor;
+    let longest = if seconds > 0.0 {
+        Duration::MAX
+    } else {
+        Duration::ZERO
+    };
+    Duration::try_from_secs_f64(seconds).unwrap_or(longest)
+}
+
 /// Published cost model of a pass.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Cost {
@@ -31,21 +44,22 @@
     /// Returns the experts' part of a pass with `requests` on each rank, if it were spread evenly over all ranks.
     #[must_use]
     pub fn expert_work(&self, requests: f64) -> Duration {
-        self.request.mul_f64(requests * self.expert_part)
+        scaled(self.request, requests * self.expert_part)
     }
 
     /// Returns the duration of a pass with `requests` on each rank, where the most loaded rank has `skew` times the
     /// mean load.
     #[must_use]
     pub fn pass(&self, requests: f64, skew: f64) -> Duration {
-        let own = self.request.mul_f64(requests * (1.0 - self.expert_part));
-        self.base + own + self.expert_work(requests).mul_f64(skew)
+        let own = scaled(self.request, requests * (1.0 - self.expert_part));
+        let experts = scaled(self.expert_work(requests), skew);
+        self.base.saturating_add(own).saturating_add(experts)
     }
 
     /// Returns whether passes stay short on the map in force, even while weights are copied.
     #[must_use]
     pub fn is_short(&self, requests: f64, skew: f64) -> bool {
-        let pass = self.pass(requests, skew).mul_f64(COPY_SLOWDOWN);
-        pass < self.longest_pause.mul_f64(SHORT_PASS_SHARE)
+        let pass = scaled(self.pass(requests, skew), COPY_SLOWDOWN);
+        pass < scaled(self.longest_pause, SHORT_PASS_SHARE)
     }
 }
--- a/crates/lockstep/tests/all/cost.rs
+++ b/crates/lockstep/tests/all/cost.rs
@@ -27,3 +27,18 @@
     assert_that!(COST.is_short(2.0, 3.0), eq(true));
     assert_that!(COST.is_short(5.0, 3.0), eq(false));
 }
+
+/// Guards against a configuration whose durations are each valid and end the process when they
+/// are multiplied.
+#[gtest]
+fn a_pass_of_enormous_durations_is_the_longest_one() {
+    let enormous = Cost {
+        base: Duration::MAX,
+        request: Duration::MAX,
+        ..COST
+    };
+    assert_that!(enormous.pass(5.0, 3.0), eq(Duration::MAX));
+    assert_that!(enormous.is_short(5.0, 3.0), eq(false));
+    assert_that!(COST.pass(f64::MAX, f64::MAX), eq(Duration::MAX));
+    assert_that!(COST.pass(f64::NAN, -1.0), eq(COST.base));
+}
