--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -141,10 +141,10 @@
             };
             let part = tokio::select! {
                 part = timeout(left, body.next()) => part,
-                () = self.exchange.straggler_detected(self.flight.target(), self.exchange.sends) => {
+                () = self.exchange.straggler_detected(self.flight.target(), self.exchange.sends), if !self.splitter.is_within_event() => {
                     return Next::Slow("rank became a straggler; resuming at another rank");
                 }
-                () = self.exchange.silence_detected(self.flight.target(), since, self.exchange.sends) => {
+                () = self.exchange.silence_detected(self.flight.target(), since, self.exchange.sends), if !self.splitter.is_within_event() => {
                     self.flight.failed();
                     return Next::Slow("rank shows nothing while its group goes on; resuming at another rank");
                 }
@@ -218,7 +218,9 @@
 
     /// Resumes the stream at another upstream after a failure; returns whether that succeeded.
     async fn resume(&mut self) -> bool {
-        self.exchange.may_rerun() && self.resume_within(None).await
+        !self.splitter.is_within_event()
+            && self.exchange.may_rerun()
+            && self.resume_within(None).await
     }
 
     /// Sends the request again for the events after the last whole one; returns whether a successful response began.
