--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,13 +1,17 @@
 //! Which requests get capacity that is scarce, and what becomes of the others.
 //!
+//! - [`comeback`]: when a refused caller is to return, and what one that returned has spent
 //! - [`demand`]: the demand by which gateways divide capacity
 //! - [`forecast`]: what gateways tell each other of forward passes
 //! - [`feature`]: which of these decisions the settings enable
+//! - [`startup`]: which requests a gateway that starts holds
 //! - [`standing`]: the order of two requests that want the same capacity
 //!
 //! This crate does no I/O, reads no clock and knows neither routes nor upstreams.
 
+pub mod comeback;
 pub mod demand;
 pub mod feature;
 pub mod forecast;
 pub mod standing;
+pub mod startup;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -112,14 +112,13 @@
     /// Refuses a request that upstreams refused without running it and that may not be sent again;
     /// sets the retry time.
     pub fn give_up(&mut self, plan: &Plan, reason: &'static str, now: Monotonic) -> Refusal {
-        let retry_bounds = match (plan.engine, plan.route.longest_pause) {
-            (Some(engine), Some(longest)) => {
-                let headroom = self.pick_group(plan, &engine, longest, now);
-                headroom.map_or(UNAVAILABLE_RETRY_SECONDS, |_| OVERLOAD_RETRY_SECONDS)
-            }
-            _ => INDEPENDENT_RETRY_SECONDS,
+        let after = match (plan.engine, plan.route.longest_pause) {
+            (Some(engine), Some(longest)) => match self.pick_group(plan, &engine, longest, now) {
+                Some(_) => self.random_duration(OVERLOAD_RETRY_SECONDS),
+                None => self.unavailable_retry(plan, UNAVAILABLE_RETRY_SECONDS, now),
+            },
+            _ => self.random_duration(INDEPENDENT_RETRY_SECONDS),
         };
-        let after = self.random_duration(retry_bounds);
         Refusal::new(ErrorKind::Unreachable, reason).with_retry_after(after)
     }
 
@@ -186,7 +185,7 @@
             return Admission::Wait(until.min(now + REFORM_POLL_INTERVAL));
         }
         let refusal = Refusal::new(ErrorKind::Unreachable, "all groups are unavailable");
-        let after = self.random_duration(UNAVAILABLE_RETRY_SECONDS);
+        let after = self.unavailable_retry(plan, UNAVAILABLE_RETRY_SECONDS, now);
         Admission::Refuse(refusal.with_retry_after(after))
     }
 
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -121,6 +121,13 @@
         self.age(now).is_some_and(|age| age < self.max_age)
     }
 
+    /// Returns for how long the knowledge has been too old to be trusted; `None` if it is recent, or
+    /// if nothing is known yet.
+    #[must_use]
+    pub fn outdated_for(&self, now: Monotonic) -> Option<Duration> {
+        self.age(now)?.checked_sub(self.max_age)
+    }
+
     /// Returns whether the store is unavailable or recently was, so that a missing entry doesn't
     /// mean that its upstream is gone.
     #[must_use]
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,8 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use auburnline_admission::comeback::Deadlines;
 use auburnline_admission::feature::Feature;
 use auburnline_admission::feature::Features;
+use auburnline_admission::startup::Room;
 use auburnline_core::error::Kind as ErrorKind;
 use auburnline_core::id::FailureDomainId;
 use auburnline_core::id::GroupId;
@@ -54,6 +56,8 @@
 /// Retry time when this gateway's configuration is missing or too old: the caller finds another
 /// gateway.
 const NOT_READY_RETRY: Duration = Duration::from_millis(100);
+/// Reason of a refusal while a key may have been taken away without this gateway's knowledge.
+const OUTDATED: &str = "configuration may be outdated";
 
 /// Maximum number of gateways named to a sidecar. At eight bytes each, they fit into one datagram
 /// together with twice as many upstreams.
@@ -100,6 +104,10 @@
     pub(crate) rng: ChaCha8Rng,
     /// Decisions that the settings enable.
     pub(crate) features: Features,
+    /// Requests held until this gateway can serve.
+    pub(crate) startup: Room,
+    /// How long new callers of each route wait.
+    pub(crate) deadlines: Deadlines,
     /// Known upstreams and the requests in flight there.
     pub pool: Pool,
     /// This gateway and the others that it knows.
@@ -166,6 +174,8 @@
             transfer: Transfer::default(),
             receivers: Receivers::default(),
             features: Features::new(),
+            startup: Room::default(),
+            deadlines: Deadlines::default(),
             bounds,
         }
     }
@@ -240,22 +250,37 @@
     /// Returns a refusal if the route or the key is unknown, or if this gateway's configuration is
     /// missing or may be outdated.
     pub fn plan(&mut self, request: &Request<'_>, now: Monotonic) -> Result<Plan, Refusal> {
+        self.plan_since(request, now, now)
+    }
+
+    /// Decides at `now` how a request that arrived earlier is to be served.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal as [`Gateway::plan`] does.
+    pub fn plan_since(
+        &mut self,
+        request: &Request<'_>,
+        arrived: Monotonic,
+        now: Monotonic,
+    ) -> Result<Plan, Refusal> {
+        let waited = now.saturating_sub(arrived);
+        let left = request.timeout.map(|time| time.saturating_sub(waited));
         let Some(table) = self.table.clone() else {
-            let refusal = Refusal::new(ErrorKind::NotReady, "no configuration");
-            return Err(refusal.with_retry_after(NOT_READY_RETRY));
+            return Err(self.not_ready("no configuration", left, now));
         };
         let age = self.freshness.age(now).unwrap_or(Duration::MAX);
         let is_fresh = self.freshness.is_fresh(now);
-        let stale = Refusal::new(ErrorKind::NotReady, "configuration may be outdated");
-        let stale = stale.with_retry_after(NOT_READY_RETRY);
         let Some(route) = table.route(request.host, request.path) else {
-            let refusal = Refusal::new(ErrorKind::UnknownRoute, "no route");
-            return Err(if is_fresh { refusal } else { stale });
+            if !is_fresh {
+                return Err(self.not_ready(OUTDATED, left, now));
+            }
+            return Err(Refusal::new(ErrorKind::UnknownRoute, "no route"));
         };
         let workspace = request.key.and_then(|key| table.workspace(key)).cloned();
         if !route.is_anonymous {
             if !is_fresh {
-                return Err(stale);
+                return Err(self.not_ready(OUTDATED, left, now));
             }
             if workspace.is_none() {
                 return Err(Refusal::new(ErrorKind::Unauthorized, "unknown key"));
@@ -273,17 +298,27 @@
         Ok(Plan {
             route: Arc::clone(route),
             urgency,
-            spent: Duration::ZERO,
+            spent: self.spent(route, request.timeout, now),
             service,
             engine,
             workspace,
             version: table.version(),
             age,
-            arrived: now,
-            deadline: now + timeout,
+            arrived,
+            deadline: arrived + timeout,
         })
     }
 
+    fn not_ready(
+        &mut self,
+        reason: &'static str,
+        left: Option<Duration>,
+        now: Monotonic,
+    ) -> Refusal {
+        let after = self.not_ready_retry(NOT_READY_RETRY, left, now);
+        Refusal::new(ErrorKind::NotReady, reason).with_retry_after(after)
+    }
+
     /// Draws one of a route's services by weight, among those with upstreams that accept work if
     /// there are any.
     fn service(&mut self, route: &Route) -> ServiceId {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,8 @@
 //! - [`message`]: the messages between gateways
 //! - [`quarantine`]: which requests crash the upstreams that run them
 //! - [`limit`]: the rate limits that upstreams announce
+//! - `startup`: which requests wait until a gateway that starts can serve
+//! - `comeback`: when refused callers are to return, and which ones have
 //! - `backoff`: which upstreams have asked for backoff
 //! - `warm_up`: how often cold upstreams may be used
 //! - [`freshness`]: how old the known state may be
@@ -37,6 +39,7 @@
 mod backoff;
 mod caution;
 pub mod choice;
+mod comeback;
 mod departure;
 pub mod evacuation;
 pub mod event;
@@ -59,6 +62,7 @@
 pub mod settled;
 mod share;
 pub mod spread;
+mod startup;
 mod subscription;
 pub mod transfer;
 pub mod upstream;
--- a/crates/gateway/src/warm_up.rs
+++ b/crates/gateway/src/warm_up.rs
@@ -21,7 +21,7 @@
 /// Window in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(1);
 /// Time after its start within which a gateway can't tell the size of the fleet.
-const FLEET_UNKNOWN_TIME: Duration = Duration::from_millis(500);
+pub(crate) const FLEET_UNKNOWN_TIME: Duration = Duration::from_millis(500);
 
 #[derive(Clone, Debug)]
 struct Cold {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -6,9 +6,7 @@
 
 use auburnline_core::error::Kind;
 use auburnline_core::id::GroupId;
-use auburnline_core::time::Monotonic;
 use auburnline_gateway::event::EventId;
-use auburnline_gateway::request;
 use auburnline_gateway::request::Admission;
 use auburnline_gateway::request::Plan;
 use auburnline_gateway::request::Refusal;
@@ -36,6 +34,7 @@
 use crate::flight::Flight;
 use crate::head;
 use crate::head::Body;
+use crate::hold::Waiting;
 use crate::shared::Shared;
 use crate::stream;
 use crate::telemetry::millis;
@@ -105,15 +104,24 @@
             );
         }
     };
-    let planned = plan(&shared, &call, head.uri.path(), arrived);
-    let plan = match planned {
+    let whole_path = head.uri.path_and_query();
+    let whole_path = whole_path.map_or("/", |path| path.as_str()).to_owned();
+    let waiting = Waiting {
+        call: &call,
+        method: head.method.as_str(),
+        path: head.uri.path(),
+        whole_path: &whole_path,
+        body: &body,
+        arrived,
+    };
+    let plan = match waiting.plan(&shared).await {
         Ok(plan) => plan,
         Err(refusal) => return refuse(&shared, &call.id, None, &refusal),
     };
-    let path = head.uri.path_and_query();
+    shared.gateway().record_attempt(&plan, call.timeout);
     let arrival = Arrival {
         method: head.method,
-        path: path.map_or("/", |path| path.as_str()).to_owned(),
+        path: whole_path,
         headers: head::end_to_end(&head.headers),
         body,
         call,
@@ -142,16 +150,6 @@
     }
 }
 
-fn plan(shared: &Shared, call: &Call, path: &str, now: Monotonic) -> Result<Plan, Refusal> {
-    let request = request::Request {
-        host: &call.host,
-        path,
-        key: call.key.as_deref(),
-        timeout: call.timeout,
-    };
-    shared.gateway().plan(&request, now)
-}
-
 /// Waits until the request is admitted.
 async fn admit(shared: &Shared, plan: &Plan, call: &Call) -> Result<(), Refusal> {
     loop {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod flight;
 mod gossip;
 mod head;
+mod hold;
 mod limit;
 mod migration;
 mod run;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -55,6 +55,8 @@
     pub(crate) transferred: Notify,
     /// Wakes requests in flight when a rank has become a straggler.
     pub(crate) straggler_reported: Notify,
+    /// Wakes requests held until this gateway can serve.
+    pub(crate) can_serve_changed: Notify,
     /// Requests that wait for a reply from a limit's home, by the number of the [`Request`](auburnline_quota::home::Request).
     permits: RefCell<HashMap<u64, oneshot::Sender<Permit>>>,
     socket: OnceCell<Rc<UdpSocket>>,
@@ -74,6 +76,7 @@
             source_wakeup: Notify::new(),
             transferred: Notify::new(),
             straggler_reported: Notify::new(),
+            can_serve_changed: Notify::new(),
             permits: RefCell::default(),
             socket: OnceCell::new(),
         }
@@ -209,6 +212,7 @@
             let age = gateway.freshness.age(now).unwrap_or_default();
             let version = gateway.version();
             log::info!(target: "gateway", is_ready, version:?, age_ms = millis(age); "readiness");
+            self.can_serve_changed.notify_waiters();
         }
     }
 
@@ -241,6 +245,8 @@
         if self.leaving_since.get().is_none() {
             self.leaving_since.set(Some(self.now()));
             self.leaving.send_replace(true);
+            self.gateway().close_startup();
+            self.can_serve_changed.notify_waiters();
             self.update_readiness();
         }
     }
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -39,8 +39,11 @@
     refusal: &Refusal,
 ) -> Response<Body> {
     let kind = refusal.kind;
-    let gateway = shared.gateway();
+    let mut gateway = shared.gateway();
     let now = shared.now();
+    if refusal.retry_after.is_some() {
+        gateway.record_refusal(now);
+    }
     let age = gateway.freshness.age(now).unwrap_or_default();
     let basis = refusal.basis;
     let limited = plan.filter(|_| refusal.is_throttled).map(|plan| {
@@ -65,6 +68,7 @@
         reason = refusal.reason,
         retry_after_ms = millis(refusal.retry_after.unwrap_or_default()),
         waited_ms = plan.map_or(0, |plan| millis(now.saturating_sub(plan.arrived))),
+        spent_ms = plan.map_or(0, |plan| millis(plan.spent)),
         in_flight:? = plan.map(|plan| gateway.pool.in_flight(&plan.service)),
         group_in_flight:? = basis.map(|basis| basis.in_flight),
         group_own:? = basis.map(|basis| basis.own),
@@ -124,6 +128,7 @@
             candidates = choice.candidates,
             is_missing = choice.is_missing,
             left_ms = millis(self.time_left()),
+            spent_ms = millis(self.plan.spent),
             version = self.plan.version,
             age_ms = millis(self.plan.age);
             "send"
