--- a/crates/admission/src/startup.rs
+++ b/crates/admission/src/startup.rs
@@ -6,7 +6,7 @@
 //! are bounded; it costs its caller time, so the wait is bounded by what the caller's own deadline
 //! leaves. What is held here is decided on only once the gateway can serve, by what it knows then.
 
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use auburnline_core::time::Monotonic;
@@ -18,7 +18,7 @@
 /// seconds, and after the hold an upstream has to be found and the prompt read.
 pub const MAX_HOLD: Duration = Duration::from_millis(1_500);
 /// Part of a caller's deadline for which its request is held at most.
-const DEADLINE_FRACTION: f64 = 0.2;
+const DEADLINE_FRACTION: f64 = 0.25;
 /// Time after its start within which a gateway is expected to serve: it has waited for messages of
 /// other gateways, and was sent the published state or has read it. One that takes longer lacks
 /// something that waiting doesn't bring, and other gateways may serve.
@@ -29,8 +29,8 @@
 pub const MAX_BYTES: usize = 16 << 20;
 /// Bytes that a held request takes beside its body: its head, task and connection.
 pub const REQUEST_BYTES: usize = 16 << 10;
-/// Maximum number of refused requests that are remembered.
-const MAX_TOLD: usize = 1_024;
+/// Maximum number of refused requests that are remembered, more than a gateway has connections.
+const MAX_TOLD: usize = 4_096;
 
 /// A request that arrived before its gateway could serve.
 #[derive(Clone, Copy, Debug)]
@@ -101,7 +101,7 @@
     bytes: usize,
     is_leaving: bool,
     /// Requests that were refused, with the time at which each was told to come back.
-    told: VecDeque<(Tag, Monotonic)>,
+    told: BTreeMap<Tag, Monotonic>,
 }
 
 impl Room {
@@ -123,9 +123,7 @@
         if self.requests >= MAX_REQUESTS || all_bytes > MAX_BYTES {
             return Err(Cause::Full);
         }
-        // While there is much room, whoever comes early takes nobody's place.
-        let is_tight = self.requests >= MAX_REQUESTS / 2 || all_bytes > MAX_BYTES / 2;
-        if is_tight && self.is_early(request.tag, now) {
+        if self.is_early(request.tag, now) && self.is_tight(all_bytes, now) {
             return Err(Cause::Early);
         }
         self.requests += 1;
@@ -139,22 +137,24 @@
         self.bytes -= place.bytes;
     }
 
-    /// Records that a request was refused and told to come back at `at`.
+    /// Returns whether a request that comes too early would take a place that those who come back as
+    /// told need.
+    fn is_tight(&self, all_bytes: usize, now: Monotonic) -> bool {
+        let expected = self.told.values().filter(|at| **at > now).count();
+        MAX_REQUESTS.saturating_sub(self.requests) <= expected || all_bytes > MAX_BYTES / 2
+    }
+
+    /// Records that a request found no place and was told to come back at `at`.
     pub fn record_refusal(&mut self, tag: Tag, at: Monotonic, now: Monotonic) {
-        self.told.retain(|(_, at)| *at > now);
-        // One that is back too early does not move its own time.
-        if self.told.iter().any(|(told, _)| *told == tag) {
-            return;
-        }
-        if self.told.len() == MAX_TOLD {
-            self.told.pop_front();
+        self.told.retain(|_, at| *at > now);
+        if self.told.len() < MAX_TOLD {
+            // One that is back too early does not move its own time.
+            self.told.entry(tag).or_insert(at);
         }
-        self.told.push_back((tag, at));
     }
 
     fn is_early(&self, tag: Tag, now: Monotonic) -> bool {
-        let told = self.told.iter().find(|(told, _)| *told == tag);
-        told.is_some_and(|(_, at)| now < *at)
+        self.told.get(&tag).is_some_and(|at| now < *at)
     }
 
     /// Holds no request any more.
--- a/crates/relay/src/hold.rs
+++ b/crates/relay/src/hold.rs
@@ -152,6 +152,9 @@
                 counter!("auburnline_startup_holds_total", "outcome" => outcome).increment(1);
             }
         }
+        if !matches!(cause, Cause::Full | Cause::Early) {
+            return;
+        }
         let after = planned
             .as_ref()
             .err()
