--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod settled;
 mod spread;
 mod start;
+mod startup;
 mod support;
 mod transfer;
 mod upstream;
