--- a/crates/gateway/tests/all/startup.rs
+++ b/crates/gateway/tests/all/startup.rs
@@ -22,9 +22,11 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
+use crate::gateway::BOUNDS;
 use crate::gateway::ask;
 use crate::gateway::blank;
 use crate::gateway::gateway;
+use crate::support::ENGINE;
 use crate::support::configuration;
 use crate::support::entry;
 use crate::support::heartbeat;
@@ -248,6 +250,29 @@
     expect_that!(admitted, matches_pattern!(Admission::Admit(anything())));
 }
 
+/// Guards against callers who return before a group can have formed, or later than they would wait.
+#[gtest]
+fn callers_come_back_when_a_group_may_have_formed_and_leave_most_of_their_time() {
+    let mut gateway = enabled(gateway(12));
+    let forming = ENGINE.form_time + BOUNDS.stall;
+    for start in [1_000, 4_000] {
+        let mut plan = ask(&mut gateway, "/draft/", Some("key-1"), start).expect("a plan");
+        let now = millis(start + 10);
+        gateway.groups.mark_unavailable(&"model".into(), now);
+        let after = |gateway: &mut Gateway, plan: &Plan| {
+            let refusal = gateway.give_up(plan, "no send succeeded", now);
+            refusal.retry_after.expect("a time")
+        };
+        let left = plan.deadline.saturating_sub(now);
+        expect_that!(after(&mut gateway, &plan), all!(ge(forming), le(left / 3)));
+        plan.deadline = now + millis(900);
+        expect_that!(
+            after(&mut gateway, &plan),
+            all!(ge(millis(225)), le(millis(300)))
+        );
+    }
+}
+
 #[gtest]
 fn a_caller_that_returns_has_less_time_to_be_served_in_time() {
     let mut gateway = enabled(gateway(1));
