--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod silence;
 mod spread;
 mod start;
+mod startup;
 mod support;
 mod transfer;
 mod upstream;
