--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -3,6 +3,9 @@
 //! - [`demand`]: the demand by which gateways divide capacity
 //! - [`forecast`]: what gateways tell each other of forward passes
 //! - [`feature`]: which of these decisions the settings enable
+//! - [`patience`]: how long a request may be held
+//! - [`queue`]: the order of requests that wait at one gateway
+//! - [`release`]: the rate at which they are served
 //! - [`standing`]: the order of two requests that want the same capacity
 //!
 //! This crate does no I/O, reads no clock and knows neither routes nor upstreams.
@@ -10,4 +13,7 @@
 pub mod demand;
 pub mod feature;
 pub mod forecast;
+pub mod patience;
+pub mod queue;
+pub mod release;
 pub mod standing;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -41,7 +41,7 @@
 /// Bounds in seconds of the interval at which a waiting request checks a full group for capacity.
 /// The interval is random: if all gateways sent their requests as soon as the leader reports
 /// capacity, one forward pass would have to read all their prompts.
-const CAPACITY_POLL_SECONDS: (f64, f64) = (0.015, 0.06);
+pub(crate) const CAPACITY_POLL_SECONDS: (f64, f64) = (0.015, 0.06);
 /// Interval at which a waiting request checks whether a group is available again.
 const REFORM_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Bounds of the retry time in seconds when no group becomes available in time: ranks that crash
@@ -52,10 +52,10 @@
 /// report within 0.2 s of each other that their groups serve again, and the groups fill up over
 /// a few reports. Such a request is late already, and a refusal would use up its caller's only
 /// retry.
-const REOPENED_MAX_WAIT: Duration = Duration::from_millis(800);
+pub(crate) const REOPENED_MAX_WAIT: Duration = Duration::from_millis(800);
 /// Bounds in seconds of the polling interval of such a request: longer than for others, so that
 /// capacity goes to requests that can still meet their objective.
-const LATE_POLL_SECONDS: (f64, f64) = (0.06, 0.15);
+pub(crate) const LATE_POLL_SECONDS: (f64, f64) = (0.06, 0.15);
 /// Bounds of the retry time in seconds after upstreams outside lock-step groups refused a request:
 /// several of their usual response times of 15 to 60 ms, and well within the deadlines of such
 /// callers.
@@ -72,8 +72,8 @@
             let refusal = Refusal::new(ErrorKind::Unreachable, "no upstream accepts requests");
             return Admission::Refuse(refusal.with_retry_after(NO_UPSTREAM_RETRY));
         }
-        if let Some(refusal) = self.all_closed(plan, &[], &[], now) {
-            return Admission::Refuse(refusal);
+        if let Some(closed_for) = self.closed_for(plan, &[], &[], now) {
+            return self.await_opening(plan, closed_for, now);
         }
         let (Some(engine), Some(longest)) = (plan.engine, plan.route.longest_pause) else {
             return Admission::Admit(None);
@@ -83,11 +83,14 @@
             self.all_unavailable_at
                 .insert(Arc::clone(&plan.service), now);
         }
+        if self.orders_requests() {
+            return self.admit_in_order(plan, &engine, longest, now);
+        }
         let Some(headroom) = self.pick_group(plan, &engine, longest, now) else {
             return self.await_reform(plan, &engine, now);
         };
         let basis = Some(headroom.basis());
-        if headroom.is_free(plan.standing()) {
+        if headroom.is_free(self.standing(plan, now)) {
             return Admission::Admit(basis);
         }
         let reopened = self.all_unavailable_at.get(&plan.service).copied();
@@ -132,6 +135,19 @@
         denied: &[UpstreamId],
         now: Monotonic,
     ) -> Option<Refusal> {
+        let closed_for = self.closed_for(plan, tried, denied, now)?;
+        Some(self.refuse_closed(plan, closed_for))
+    }
+
+    /// Returns after which time the first upstream opens, if every upstream that the request could
+    /// go to is at its rate limit, asked for backoff or is cold.
+    fn closed_for(
+        &self,
+        plan: &Plan,
+        tried: &[UpstreamId],
+        denied: &[UpstreamId],
+        now: Monotonic,
+    ) -> Option<Duration> {
         if self.limits.is_idle() && self.backoffs.is_empty() && self.warm_ups.is_empty() {
             return None;
         }
@@ -146,7 +162,11 @@
             let open_at = open_at.or_else(|| denied.contains(&upstream.id).then_some(now))?;
             first_open = Some(first_open.map_or(open_at, |first| first.min(open_at)));
         }
-        let closed_for = first_open?.saturating_sub(now);
+        Some(first_open?.saturating_sub(now))
+    }
+
+    /// Refuses a request whose upstreams are all closed, the first of them for `closed_for`.
+    pub(crate) fn refuse_closed(&mut self, plan: &Plan, closed_for: Duration) -> Refusal {
         let retry_bounds = if plan.engine.is_some() {
             OVERLOAD_RETRY_SECONDS
         } else {
@@ -157,7 +177,7 @@
             "all remaining upstreams are at their rate limits, asked for backoff or are cold";
         let mut refusal = Refusal::new(ErrorKind::Overloaded, reason);
         refusal.is_throttled = true;
-        Some(refusal.with_retry_after(after))
+        refusal.with_retry_after(after)
     }
 
     /// Returns a random time between two bounds in seconds.
@@ -167,7 +187,7 @@
 
     /// Decides on a request while no group is available: a group that just became unavailable may
     /// re-form at once.
-    fn await_reform(&mut self, plan: &Plan, engine: &Engine, now: Monotonic) -> Admission {
+    pub(crate) fn await_reform(&mut self, plan: &Plan, engine: &Engine, now: Monotonic) -> Admission {
         self.all_unavailable_at
             .insert(Arc::clone(&plan.service), now);
         // After a loss of all power, ranks stall before they give up on the missing ones, and only
@@ -277,7 +297,7 @@
         longest: Duration,
         now: Monotonic,
     ) -> Option<Headroom> {
-        let standing = plan.standing();
+        let standing = self.standing(plan, now);
         let gateways = self.roster.live(now);
         let mut headrooms = Vec::new();
         for (group, traffic) in self.traffic(&plan.service, now) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,8 @@
 
 use auburnline_admission::feature::Feature;
 use auburnline_admission::feature::Features;
+use auburnline_admission::queue::Queue;
+use auburnline_admission::queue::Ticket;
 use auburnline_core::error::Kind as ErrorKind;
 use auburnline_core::id::FailureDomainId;
 use auburnline_core::id::GroupId;
@@ -98,6 +100,10 @@
     pub(crate) all_unavailable_at: HashMap<ServiceId, Monotonic>,
     pub(crate) budget: Budget<ServiceId, ServiceId>,
     pub(crate) rng: ChaCha8Rng,
+    /// Requests that wait for capacity, by service.
+    pub(crate) queues: HashMap<ServiceId, Queue>,
+    /// Ticket of the newest request.
+    last_ticket: Ticket,
     /// Decisions that the settings enable.
     pub(crate) features: Features,
     /// Known upstreams and the requests in flight there.
@@ -145,6 +151,8 @@
             paces: HashMap::new(),
             allowances: HashMap::new(),
             all_unavailable_at: HashMap::new(),
+            queues: HashMap::new(),
+            last_ticket: 0,
             groups: Groups::default(),
             budget: Budget::new(retry_budget::settings(
                 &roster.own_entry().instance,
@@ -270,9 +278,11 @@
         } else {
             0
         };
+        self.last_ticket += 1;
         Ok(Plan {
             route: Arc::clone(route),
             urgency,
+            ticket: self.last_ticket,
             spent: Duration::ZERO,
             service,
             engine,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`choice`]: which upstream a request is sent to
 //! - [`group`]: which upstreams run in lock-step
 //! - [`pace`]: how many streams a group can serve in time
+//! - `waiting`: in which order requests that wait are sent
 //! - `caution`: how far a group is filled where demand shifts often
 //! - [`report`]: the load that group leaders report
 //! - [`neighbour`]: which other gateways are alive
@@ -63,6 +64,7 @@
 pub mod transfer;
 pub mod upstream;
 mod version;
+mod waiting;
 mod warm_up;
 
 pub use gateway::Gateway;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use auburnline_admission::patience::Patience;
+use auburnline_admission::queue::Ticket;
 use auburnline_admission::standing::Standing;
 use auburnline_admission::standing::Urgency;
 use auburnline_core::error::Kind as ErrorKind;
@@ -41,6 +43,8 @@
     pub workspace: Option<Arc<Workspace>>,
     /// Urgency among the requests to the service.
     pub urgency: Urgency,
+    /// Identifies the request among those that wait at this gateway.
+    pub ticket: Ticket,
     /// Time that the caller spent on the request before this attempt; zero if this may be its first.
     pub spent: Duration,
     /// Version of the configuration that the plan is based on.
@@ -56,13 +60,25 @@
 impl Plan {
     /// Returns the request's position among those that want the same capacity.
     #[must_use]
-    pub const fn standing(&self) -> Standing {
+    pub fn standing(&self, now: Monotonic) -> Standing {
         Standing {
-            is_late: false,
+            is_late: now > self.patience().start_by(),
             urgency: self.urgency,
         }
     }
 
+    /// Returns how long the request may be held.
+    #[must_use]
+    pub fn patience(&self) -> Patience {
+        Patience {
+            arrived: self.arrived,
+            spent: self.spent,
+            objective: self.route.objective,
+            longest_pause: self.route.longest_pause,
+            deadline: self.deadline,
+        }
+    }
+
     /// Returns until when a first event, or an answer, meets the route's objective.
     #[must_use]
     pub fn in_time_until(&self) -> Monotonic {
@@ -117,6 +133,10 @@
     /// Whether all remaining upstreams are at the rate limits that they announced or have asked for
     /// backoff.
     pub is_throttled: bool,
+    /// Requests that waited ahead of this one; `None` unless it had a place in the queue.
+    pub ahead: Option<usize>,
+    /// Whether a wait was predicted to be in vain, so that the request was not held.
+    pub is_predicted: bool,
 }
 
 impl Refusal {
@@ -129,6 +149,8 @@
             reason,
             basis: None,
             is_throttled: false,
+            ahead: None,
+            is_predicted: false,
         }
     }
 
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use auburnline_admission::standing::Urgency;
 use auburnline_core::error::Kind;
 use auburnline_gateway::event::EventId;
 use auburnline_quota::Rate;
@@ -38,6 +39,8 @@
     pub left: Duration,
     /// Name of the workspace that the request belongs to, if any.
     pub workspace: Option<&'a str>,
+    /// Urgency for the upstream, from 0 to 9, 0 first; none if the upstream is told none.
+    pub urgency: Option<Urgency>,
     /// Event after which the stream is to continue, if this attempt resumes one.
     pub after: Option<EventId>,
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,7 +9,6 @@
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::event::EventId;
 use auburnline_gateway::request;
-use auburnline_gateway::request::Admission;
 use auburnline_gateway::request::Plan;
 use auburnline_gateway::request::Refusal;
 use auburnline_gateway::upstream::UpstreamId;
@@ -26,9 +25,9 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use metrics::counter;
-use metrics::histogram;
 use tokio::time::timeout;
 
+use crate::admission;
 use crate::answer;
 use crate::dialect::Call;
 use crate::dialect::Classification;
@@ -38,7 +37,6 @@
 use crate::head::Body;
 use crate::shared::Shared;
 use crate::stream;
-use crate::telemetry::millis;
 use crate::telemetry::refuse;
 
 /// Maximum size of a request body while no configuration is loaded.
@@ -152,33 +150,6 @@
     shared.gateway().plan(&request, now)
 }
 
-/// Waits until the request is admitted.
-async fn admit(shared: &Shared, plan: &Plan, call: &Call) -> Result<(), Refusal> {
-    loop {
-        let now = shared.now();
-        let capacity_freed = shared.capacity_freed(&plan.service);
-        let admission = shared.gateway().admit(plan, now);
-        match admission {
-            Admission::Admit(basis) => {
-                let waited = now.saturating_sub(plan.arrived);
-                histogram!("auburnline_admission_wait_seconds").record(waited);
-                log::debug!(
-                    target: "gateway",
-                    request = call.id.as_str(),
-                    waited_ms = millis(waited),
-                    basis:?;
-                    "admit"
-                );
-                return Ok(());
-            }
-            Admission::Wait(until) => {
-                let _ = timeout(until.saturating_sub(now), capacity_freed.notified()).await;
-            }
-            Admission::Refuse(refusal) => return Err(refusal),
-        }
-    }
-}
-
 impl Exchange {
     fn new(shared: Rc<Shared>, arrival: Arrival, plan: Plan) -> Exchange {
         Exchange {
@@ -268,8 +239,11 @@
         let uri = uri.map_err(|report| *report.current_context())?;
         let mut headers = self.arrival.headers.clone();
         let workspace = self.plan.workspace.as_ref();
+        let now = self.shared.now();
+        let urgency = self.shared.gateway().upstream_urgency(&self.plan, now);
         let outbound = Outbound {
             upstream,
+            urgency,
             left: self.time_left(),
             workspace: workspace.map(|workspace| &*workspace.name),
             after,
@@ -327,7 +301,7 @@
 
     /// Waits until the request is admitted, for its first attempt or for another one.
     pub(crate) async fn wait_for_admission(&self) -> Result<(), Refusal> {
-        admit(&self.shared, &self.plan, &self.arrival.call).await
+        admission::wait(&self.shared, &self.plan, &self.arrival.call.id).await
     }
 
     /// Returns whether a request that may have been executed may be sent again, and takes a retry from the budget if so.
--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -76,6 +76,6 @@
         let now = self.shared.now();
         let upstream = &self.upstream;
         self.shared.gateway().end(&upstream.id, self.outcome, now);
-        self.shared.capacity_freed(&upstream.service).notify_one();
+        self.shared.wake_waiting(&upstream.service);
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! single thread: an instance has a fraction of one core, where switching threads costs more than
 //! it gains.
 
+mod admission;
 mod answer;
 mod assign;
 mod callers;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -178,6 +178,17 @@
         Rc::clone(capacity_freed.entry(service.clone()).or_default())
     }
 
+    /// Wakes requests that wait for capacity at a service: all of them where they are served in the order of a queue, which
+    /// knows whose turn it is, and else one.
+    pub(crate) fn wake_waiting(&self, service: &ServiceId) {
+        let capacity_freed = self.capacity_freed(service);
+        if self.gateway().orders_requests() {
+            capacity_freed.notify_waiters();
+        } else {
+            capacity_freed.notify_one();
+        }
+    }
+
     /// Logs changes of the upstream pool, and drops the clients of upstreams that are gone.
     pub(crate) fn upstreams_changed(&self, changes: Vec<upstream::Change>) {
         log_changes(&changes);
