--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -1,3 +1,5 @@
 //! Tests of who gets scarce capacity.
 
+mod patience;
+mod queue;
 mod standing;
