--- a/crates/admission/src/patience.rs
+++ b/crates/admission/src/patience.rs
@@ -50,9 +50,7 @@
     pub fn hold_until(&self) -> Monotonic {
         let abandoned = self.longest_pause.map_or(MIN_PATIENCE, |pause| {
             let by_objective = self.objective * PATIENCE_OBJECTIVES;
-            MIN_PATIENCE
-                .max(by_objective)
-                .max(pause * PATIENCE_PAUSES)
+            MIN_PATIENCE.max(by_objective).max(pause * PATIENCE_PAUSES)
         });
         let held = abandoned.saturating_sub(self.objective);
         let most = self
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -59,10 +59,18 @@
     pub asked: Monotonic,
 }
 
+/// A waiting request's place.
+#[derive(Clone, Debug)]
+struct Place {
+    waiter: Waiter,
+    /// When it first asked.
+    since: Monotonic,
+}
+
 /// Requests that wait for one service.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
-    waiters: BTreeMap<Ticket, Waiter>,
+    places: BTreeMap<Ticket, Place>,
     served: BTreeMap<Option<WorkspaceId>, Served>,
     /// Urgent requests in a row that were served while a less urgent one waited.
     overtakes: u32,
@@ -79,8 +87,7 @@
 
 impl Served {
     fn at(self, now: Monotonic) -> f64 {
-        let half_lives =
-            now.saturating_sub(self.at).as_secs_f64() / SERVED_HALF_LIFE.as_secs_f64();
+        let half_lives = now.saturating_sub(self.at).as_secs_f64() / SERVED_HALF_LIFE.as_secs_f64();
         self.count * (-half_lives).exp2()
     }
 }
@@ -89,38 +96,44 @@
     /// Enters a request, or renews its entry.
     pub fn ask(&mut self, ticket: Ticket, waiter: Waiter) -> Entry {
         self.advance(waiter.asked);
-        if !self.waiters.contains_key(&ticket) && self.waiters.len() >= MAX_WAITING {
+        if !self.places.contains_key(&ticket) && self.places.len() >= MAX_WAITING {
             return Entry::Full;
         }
-        let previous = self.waiters.insert(ticket, waiter);
-        previous.map_or(Entry::New, |waiter| Entry::Known(waiter.standing))
+        let since = waiter.asked;
+        let place = Place { waiter, since };
+        let Some(previous) = self.places.insert(ticket, place) else {
+            return Entry::New;
+        };
+        if let Some(place) = self.places.get_mut(&ticket) {
+            place.since = previous.since;
+        }
+        Entry::Known(previous.waiter.standing)
     }
 
     /// Returns the number of waiting requests that go before `waiter`, which need not have an entry.
     #[must_use]
     pub fn ahead(&self, ticket: Ticket, waiter: &Waiter) -> usize {
         let now = waiter.asked;
-        let live = self.waiters.iter().filter(|(other, known)| {
-            **other != ticket && now.saturating_sub(known.asked) <= LAPSE
-        });
         let favoured = self.favoured(waiter, now);
         let own = self.key(ticket, waiter, favoured, now);
-        live.filter(|(other, known)| self.key(**other, known, favoured, now) < own)
+        let others = self.live(now).filter(|(other, _)| *other != ticket);
+        others
+            .filter(|(other, waiter)| self.key(*other, waiter, favoured, now) < own)
             .count()
     }
 
     /// Returns the number of requests that wait, those in time first.
     #[must_use]
     pub fn waiting(&self) -> (usize, usize) {
-        let late = self.waiters.values();
-        let late = late.filter(|waiter| waiter.standing.is_late).count();
-        (self.waiters.len() - late, late)
+        let late = self.places.values();
+        let late = late.filter(|place| place.waiter.standing.is_late).count();
+        (self.places.len() - late, late)
     }
 
     /// Returns whether no request waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.waiters.is_empty()
+        self.places.is_empty()
     }
 
     /// Returns the expected time until a request with `ahead` others before it has been served, by
@@ -135,13 +148,14 @@
     pub fn serve(&mut self, ticket: Ticket, waiter: &Waiter) {
         let now = waiter.asked;
         self.advance(now);
-        let had_entry = self.waiters.remove(&ticket).is_some();
-        let overtaken = self.waiters.values().any(|other| {
+        let place = self.places.remove(&ticket);
+        let has_waited = place.is_some_and(|place| place.since < now);
+        let overtaken = self.live(now).any(|(_, other)| {
             other.standing.is_late == waiter.standing.is_late
                 && other.standing.urgency > waiter.standing.urgency
         });
         self.overtakes = if overtaken { self.overtakes + 1 } else { 0 };
-        if had_entry {
+        if has_waited {
             let lane = if waiter.standing.is_late {
                 &mut self.late
             } else {
@@ -161,7 +175,7 @@
     /// Removes a request that is refused or whose caller left; returns whether it waited.
     pub fn withdraw(&mut self, ticket: Ticket, now: Monotonic) -> bool {
         self.advance(now);
-        self.waiters.remove(&ticket).is_some()
+        self.places.remove(&ticket).is_some()
     }
 
     /// Counts the time since the last event as time in which requests waited, lane by lane.
@@ -169,8 +183,15 @@
         let (in_time, late) = self.waiting();
         self.in_time.advance(in_time > 0, now);
         self.late.advance(late > 0, now);
-        self.waiters
-            .retain(|_, waiter| now.saturating_sub(waiter.asked) <= LAPSE);
+        self.places
+            .retain(|_, place| now.saturating_sub(place.waiter.asked) <= LAPSE);
+    }
+
+    /// Returns the waiting requests that still ask.
+    fn live(&self, now: Monotonic) -> impl Iterator<Item = (Ticket, &Waiter)> {
+        let places = self.places.iter();
+        let places = places.map(|(ticket, place)| (*ticket, &place.waiter));
+        places.filter(move |(_, waiter)| now.saturating_sub(waiter.asked) <= LAPSE)
     }
 
     /// Returns the urgency whose turn it is, if more urgent requests have overtaken others often
@@ -179,8 +200,7 @@
         if self.overtakes < MAX_OVERTAKES {
             return None;
         }
-        let live = self.waiters.values();
-        let live = live.filter(|waiter| now.saturating_sub(waiter.asked) <= LAPSE);
+        let live = self.live(now).map(|(_, waiter)| waiter);
         let live = live.chain([asking]);
         live.map(|waiter| (waiter.standing.is_late, waiter.standing.urgency))
             .min_by_key(|(is_late, urgency)| (*is_late, std::cmp::Reverse(*urgency)))
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -187,7 +187,12 @@
 
     /// Decides on a request while no group is available: a group that just became unavailable may
     /// re-form at once.
-    pub(crate) fn await_reform(&mut self, plan: &Plan, engine: &Engine, now: Monotonic) -> Admission {
+    pub(crate) fn await_reform(
+        &mut self,
+        plan: &Plan,
+        engine: &Engine,
+        now: Monotonic,
+    ) -> Admission {
         self.all_unavailable_at
             .insert(Arc::clone(&plan.service), now);
         // After a loss of all power, ranks stall before they give up on the missing ones, and only
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -20,8 +20,10 @@
 use crate::admission::CAPACITY_POLL_SECONDS;
 use crate::admission::LATE_POLL_SECONDS;
 use crate::admission::REOPENED_MAX_WAIT;
+use crate::allowance::Allowance;
 use crate::gateway::Gateway;
 use crate::headroom::Headroom;
+use crate::real;
 use crate::request::Admission;
 use crate::request::Plan;
 use crate::request::Refusal;
@@ -127,9 +129,6 @@
             Entry::New | Entry::Known(_) => self.waits_in_vain(plan, standing, ahead, now),
             Entry::Full => true,
         };
-        if ahead > 0 && now < until && !is_in_vain {
-            return self.wait(standing, until, now);
-        }
         let Some(headroom) = self.pick_group(plan, engine, longest, now) else {
             let decided = self.await_reform(plan, engine, now);
             if let Admission::Refuse(_) = decided {
@@ -138,7 +137,7 @@
             return decided;
         };
         let is_free = headroom.is_free(standing) && (!standing.is_late || spares(&headroom));
-        if is_free && ahead == 0 {
+        if is_free && (ahead == 0 || serves_all(&headroom, ahead + 1)) {
             let queue = self.queues.entry(Arc::clone(&plan.service)).or_default();
             queue.serve(plan.ticket, &waiter);
             return Admission::Admit(Some(headroom.basis()));
@@ -190,14 +189,12 @@
     }
 
     /// Returns whether a request is expected to be refused after its wait.
-    fn waits_in_vain(
-        &self,
-        plan: &Plan,
-        standing: Standing,
-        ahead: usize,
-        now: Monotonic,
-    ) -> bool {
-        let Some(queue) = self.queues.get(&plan.service).filter(|_| self.serves_late()) else {
+    fn waits_in_vain(&self, plan: &Plan, standing: Standing, ahead: usize, now: Monotonic) -> bool {
+        let Some(queue) = self
+            .queues
+            .get(&plan.service)
+            .filter(|_| self.serves_late())
+        else {
             return false;
         };
         let patience = plan.patience();
@@ -208,7 +205,11 @@
         let late_from = patience.start_by().max(now);
         let late = self.wait_until(plan).saturating_sub(late_from);
         let (_, late_waiting) = queue.waiting();
-        let ahead = if standing.is_late { ahead } else { late_waiting };
+        let ahead = if standing.is_late {
+            ahead
+        } else {
+            late_waiting
+        };
         queue.expected_wait(true, ahead) > late
     }
 
@@ -238,6 +239,16 @@
     }
 }
 
+/// Returns whether a group's free capacity is enough for so many requests, so that one of them need
+/// not wait until those ahead of it ask again.
+fn serves_all(headroom: &Headroom, requests: usize) -> bool {
+    let allowance = headroom.allowance.map(Allowance::requests);
+    let free = headroom
+        .sendable()
+        .min(allowance.unwrap_or_else(|| headroom.capacity_left()));
+    free >= real(requests)
+}
+
 /// Returns whether a group has capacity that requests in time don't need.
 fn spares(headroom: &Headroom) -> bool {
     let in_flight = f64::from(headroom.traffic.load.in_flight);
--- a/crates/gateway/tests/all/waiting.rs
+++ b/crates/gateway/tests/all/waiting.rs
@@ -87,12 +87,12 @@
     }
 }
 
-fn waits() -> impl for<'a> Matcher<&'a Admission> {
-    matches_pattern!(&Admission::Wait(anything()))
+fn waits<'a>() -> impl Matcher<&'a Admission> {
+    predicate(|admission: &Admission| matches!(admission, Admission::Wait(_)))
 }
 
-fn admitted() -> impl for<'a> Matcher<&'a Admission> {
-    matches_pattern!(&Admission::Admit(anything()))
+fn admitted<'a>() -> impl Matcher<&'a Admission> {
+    predicate(|admission: &Admission| matches!(admission, Admission::Admit(_)))
 }
 
 fn refusal(admission: Admission) -> Refusal {
@@ -117,10 +117,19 @@
     expect_that!(at, eq(millis(1_120)));
     let refusal = refusal(decided);
     expect_that!(refusal.is_predicted, eq(false));
-    expect_that!(refusal.retry_after, some(all!(ge(millis(200)), lt(millis(1_000)))));
+    expect_that!(
+        refusal.retry_after,
+        some(all!(ge(millis(200)), lt(millis(1_000))))
+    );
     expect_that!(scene.gateway.all_waiting(), eq((0, 0)));
-    expect_that!(scene.gateway.upstream_urgency(&first, millis(2_000)), none());
-    expect_that!(scene.gateway.standing(&first, millis(2_000)).is_late, eq(false));
+    expect_that!(
+        scene.gateway.upstream_urgency(&first, millis(2_000)),
+        none()
+    );
+    expect_that!(
+        scene.gateway.standing(&first, millis(2_000)).is_late,
+        eq(false)
+    );
 }
 
 #[gtest]
@@ -162,7 +171,10 @@
     let late = scene.plan(1_000);
     expect_that!(&scene.admit(&late, 1_000), waits());
     expect_that!(&scene.admit(&late, 1_150), waits());
-    expect_that!(scene.gateway.standing(&late, millis(1_150)).is_late, eq(true));
+    expect_that!(
+        scene.gateway.standing(&late, millis(1_150)).is_late,
+        eq(true)
+    );
     expect_that!(scene.gateway.all_waiting(), eq((0, 1)));
     // One place is for a request in time only, of which one comes.
     scene.end(1, 1_160);
@@ -188,28 +200,36 @@
     let refusal = refusal(decided);
     expect_that!(refusal.kind, eq(ErrorKind::Overloaded));
     let left = late.deadline - at;
-    expect_that!(refusal.retry_after, some(all!(ge(millis(400)), le(left / 3))));
+    expect_that!(
+        refusal.retry_after,
+        some(all!(ge(millis(400)), le(left / 3)))
+    );
     expect_that!(scene.gateway.all_waiting(), eq((0, 0)));
 }
 
-/// Guards against waits in vain: nothing was served for a second while requests waited.
+/// Guards against waits in vain: for 1.5 s a full group serves nobody, and a request comes each
+/// 25 ms. Now and then one is held, by which it shows whether capacity is given out again.
 #[gtest]
-fn a_request_that_would_wait_in_vain_is_refused_at_once() {
+fn requests_that_would_wait_in_vain_are_refused_at_once() {
     let mut scene = Scene::new(&[Feature::LateQueue]);
     scene.fill(1_000);
-    let mut waiting: Vec<Plan> = (0..4).map(|_| scene.plan(1_000)).collect();
+    let mut waiting: Vec<Plan> = Vec::new();
+    let mut at_once = 0;
     for step in 0..60 {
         let now = 1_000 + step * 25;
         waiting.retain(|plan| matches!(scene.admit(plan, now), Admission::Wait(_)));
         let plan = scene.plan(now);
-        if let Admission::Wait(_) = scene.admit(&plan, now) {
-            waiting.push(plan);
+        match scene.admit(&plan, now) {
+            Admission::Wait(_) => waiting.push(plan),
+            Admission::Refuse(refusal) => {
+                expect_that!(refusal.is_predicted, eq(true));
+                expect_that!(refusal.retry_after, some(ge(millis(400))));
+                at_once += 1;
+            }
+            Admission::Admit(_) => panic!("the group is full"),
         }
     }
-    let arrived = scene.plan(2_500);
-    let refusal = refusal(scene.admit(&arrived, 2_500));
-    expect_that!(refusal.is_predicted, eq(true));
-    expect_that!(refusal.retry_after, some(ge(millis(400))));
+    expect_that!(at_once, ge(30));
 }
 
 /// Two routes to one service, the second more urgent for this workspace or not.
@@ -268,6 +288,8 @@
     in_time: u32,
     late: u32,
     refused: u32,
+    /// Refused after more than half a second.
+    held_in_vain: u32,
     longest_held: Duration,
 }
 
@@ -314,7 +336,10 @@
                     let until = u64::try_from(until.as_millis()).expect("a time");
                     waiting.push((plan, until.div_ceil(10) * 10));
                 }
-                Admission::Refuse(_) => day.refused += 1,
+                Admission::Refuse(_) => {
+                    day.refused += 1;
+                    day.held_in_vain += u32::from(held > millis(500));
+                }
             }
             day.longest_held = day.longest_held.max(held);
         }
@@ -322,16 +347,26 @@
     day
 }
 
-/// A wave of 1.5 times the capacity each 17 s: late requests are served after each wave, and those
-/// in time lose little to them.
+/// A wave of 1.5 times the capacity each 17 s: the queue and the late requests take next to nothing
+/// from those in time, nobody is held until its caller leaves, and most of those that can't be
+/// served are refused when they arrive or turn late.
 #[gtest]
-fn a_wave_each_17_s_is_served_late_where_it_cannot_be_in_time() {
+fn a_wave_each_17_s_costs_requests_in_time_nothing_and_holds_few_in_vain() {
     let before = play(&[]);
     let after = play(&[Feature::Urgency, Feature::LateQueue]);
     expect_that!(before.late, eq(0), "{before:?}");
     expect_that!(before.longest_held, le(millis(130)));
     expect_that!(after.late, gt(0), "{after:?} {before:?}");
-    expect_that!(after.refused, lt(before.refused), "{after:?} {before:?}");
-    expect_that!(after.in_time * 100, ge(before.in_time * 95), "{after:?} {before:?}");
+    expect_that!(
+        after.refused * 100,
+        le(before.refused * 105),
+        "{after:?} {before:?}"
+    );
+    expect_that!(
+        after.in_time * 100,
+        ge(before.in_time * 98),
+        "{after:?} {before:?}"
+    );
+    expect_that!(after.held_in_vain * 10, le(after.refused), "{after:?}");
     expect_that!(after.longest_held, le(millis(1_620)), "{after:?}");
 }
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -66,7 +66,11 @@
                     "admit"
                 );
                 if place.has_waited {
-                    count(if standing.is_late { "sent_late" } else { "sent" });
+                    count(if standing.is_late {
+                        "sent_late"
+                    } else {
+                        "sent"
+                    });
                     shared.wake_waiting(&plan.service);
                     export(shared);
                 }
