--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -134,7 +134,7 @@
     /// backoff.
     pub is_throttled: bool,
     /// Requests that waited ahead of this one; `None` unless it had a place in the queue.
-    pub ahead: Option<usize>,
+    pub ahead: Option<u16>,
     /// Whether a wait was predicted to be in vain, so that the request was not held.
     pub is_predicted: bool,
 }
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -147,7 +147,7 @@
         }
         let mut refusal = Refusal::new(ErrorKind::Overloaded, headroom.reason());
         refusal.basis = Some(headroom.basis());
-        refusal.ahead = Some(ahead);
+        refusal.ahead = Some(u16::try_from(ahead).unwrap_or(u16::MAX));
         refusal.is_predicted = is_in_vain;
         let after = self.return_after(plan, now);
         self.withdraw(plan, now);
--- a/crates/gateway/tests/all/waiting.rs
+++ b/crates/gateway/tests/all/waiting.rs
@@ -199,7 +199,7 @@
     expect_that!(at, le(millis(2_600)));
     let refusal = refusal(decided);
     expect_that!(refusal.kind, eq(ErrorKind::Overloaded));
-    let left = late.deadline - at;
+    let left = late.deadline.saturating_sub(at);
     expect_that!(
         refusal.retry_after,
         some(all!(ge(millis(400)), le(left / 3)))
@@ -324,7 +324,7 @@
                 waiting.push((plan, due));
                 continue;
             }
-            let held = millis(now) - plan.arrived;
+            let held = millis(now).saturating_sub(plan.arrived);
             match scene.admit(&plan, now) {
                 Admission::Admit(_) => {
                     scene.send(&plan, now);
