--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Tests of who gets scarce capacity.
 
 mod comeback;
+mod patience;
+mod queue;
 mod standing;
 mod startup;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,8 @@
 use auburnline_admission::comeback::Deadlines;
 use auburnline_admission::feature::Feature;
 use auburnline_admission::feature::Features;
+use auburnline_admission::queue::Queue;
+use auburnline_admission::queue::Ticket;
 use auburnline_admission::startup::Room;
 use auburnline_core::error::Kind as ErrorKind;
 use auburnline_core::id::FailureDomainId;
@@ -102,6 +104,10 @@
     pub(crate) all_unavailable_at: HashMap<ServiceId, Monotonic>,
     pub(crate) budget: Budget<ServiceId, ServiceId>,
     pub(crate) rng: ChaCha8Rng,
+    /// Requests that wait for capacity, by service.
+    pub(crate) queues: HashMap<ServiceId, Queue>,
+    /// Ticket of the newest request.
+    last_ticket: Ticket,
     /// Decisions that the settings enable.
     pub(crate) features: Features,
     /// Requests held until this gateway can serve.
@@ -153,6 +159,8 @@
             paces: HashMap::new(),
             allowances: HashMap::new(),
             all_unavailable_at: HashMap::new(),
+            queues: HashMap::new(),
+            last_ticket: 0,
             groups: Groups::default(),
             budget: Budget::new(retry_budget::settings(
                 &roster.own_entry().instance,
@@ -300,9 +308,11 @@
         } else {
             0
         };
+        self.last_ticket += 1;
         Ok(Plan {
             route: Arc::clone(route),
             urgency,
+            ticket: self.last_ticket,
             spent: self.spent(route, request.timeout, now),
             service,
             engine,
