--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -342,6 +342,10 @@
             // A group forms with the initial map, on which passes take longer than those seen
             // before.
             self.paces.remove(digest.group.as_str());
+            if self.features.contains(&Feature::SharedForecasts) {
+                let group = GroupId::from(digest.group.as_str());
+                self.paces.insert(group, Group::formed(now));
+            }
         }
         Update {
             is_changed,
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -99,6 +99,11 @@
         before.is_none_or(|before| before.digest.is_open != is_open)
     }
 
+    /// Returns the names of all groups that a leader reported.
+    pub(crate) fn names(&self) -> impl Iterator<Item = &GroupId> {
+        self.states.keys()
+    }
+
     /// Returns the newest reports, for a gateway that has just started.
     pub fn recent_reports(&self, now: Monotonic) -> impl Iterator<Item = &Digest> {
         let recent = self
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`group`]: which upstreams run in lock-step
 //! - [`pace`]: how many streams a group can serve in time
 //! - `caution`: how far a group is filled where demand shifts often
+//! - [`forecast`]: what gateways tell each other of a group's passes
 //! - [`report`]: the load that group leaders report
 //! - [`neighbour`]: which other gateways are alive
 //! - [`message`]: the messages between gateways
@@ -40,6 +41,7 @@
 mod departure;
 pub mod evacuation;
 pub mod event;
+pub mod forecast;
 pub mod freshness;
 pub mod gateway;
 pub mod group;
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -9,12 +9,15 @@
 
 use std::time::Duration;
 
+use auburnline_admission::forecast;
+use auburnline_admission::forecast::MAX_FACTOR_AGE;
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::rank::NOMINAL_SLOWDOWN_PERCENT;
 use auburnline_lockstep::rank::slowdown;
 
 use crate::caution;
 use crate::caution::Caution;
+use crate::caution::Evidence;
 use crate::caution::SHIFTED_TARGET_FRACTION;
 use crate::route::Engine;
 
@@ -82,8 +85,13 @@
     caution: Caution,
     /// Pace of the slowest rank while `caution` was learned.
     slowest: u16,
+    /// When the newest pass ran that is known here.
     seen_at: Option<Monotonic>,
     mean_pass: f64,
+    /// When the newest pass of an own stream ended, and its factor.
+    own: Option<(Monotonic, f64)>,
+    /// When the group formed, if it did so since this gateway started.
+    formed_at: Option<Monotonic>,
 }
 
 impl Default for Group {
@@ -95,11 +103,22 @@
             slowest: NOMINAL_SLOWDOWN_PERCENT,
             seen_at: None,
             mean_pass: 0.0,
+            own: None,
+            formed_at: None,
         }
     }
 }
 
 impl Group {
+    /// Returns the model of a group that just formed, of which all passes before say nothing.
+    #[must_use]
+    pub fn formed(now: Monotonic) -> Group {
+        Group {
+            formed_at: Some(now),
+            ..Group::default()
+        }
+    }
+
     /// Records the pause between two events of a stream, while `load` ran.
     pub fn observe(
         &mut self,
@@ -127,6 +146,7 @@
         let weight = ewma_weight(passed, FACTOR_TIME_CONSTANT);
         let slope = slope(engine, load.ranks) * f64::from(load.in_flight);
         let seen = ((pause - base(engine, load)) / slope).clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
+        self.own = Some((now, seen));
         self.factor += (seen - self.factor) * weight;
         self.mean_pass += (pause - self.mean_pass) * weight;
         let weight = ewma_weight(passed, RECENT_TIME_CONSTANT);
@@ -139,6 +159,47 @@
         self.caution.observe(&pass, passed, now);
     }
 
+    /// Returns what this gateway saw of the group's passes; none without recent ones.
+    #[must_use]
+    pub fn record(&self, group: forecast::GroupTag, now: Monotonic) -> Option<forecast::Record> {
+        let (at, factor) = self.own?;
+        let age = now.saturating_sub(at);
+        let evidence = self.caution.evidence();
+        let record = forecast::Record {
+            group,
+            factor: single(factor),
+            peak: single(evidence.peak),
+            late_fraction: single(evidence.late_fraction),
+            age_ms: u16::try_from(age.as_millis()).unwrap_or(u16::MAX),
+        };
+        record.is_valid().then_some(record)
+    }
+
+    /// Adds what a gateway saw of the group's passes, this one or another; returns whether it says
+    /// anything about the group.
+    pub fn hear(&mut self, record: &forecast::Record, now: Monotonic) -> bool {
+        let age = record.age();
+        let at = now.saturating_sub(age);
+        if !record.is_valid() || self.formed_at.is_some_and(|formed_at| at < formed_at) {
+            return false;
+        }
+        let passed = self
+            .seen_at
+            .map_or(FACTOR_TIME_CONSTANT, |seen_at| at.saturating_sub(seen_at));
+        if age < MAX_FACTOR_AGE && passed > Duration::ZERO {
+            let seen = f64::from(record.factor).clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
+            self.factor += (seen - self.factor) * ewma_weight(passed, FACTOR_TIME_CONSTANT);
+            self.recent += (seen - self.recent) * ewma_weight(passed, RECENT_TIME_CONSTANT);
+            self.seen_at = Some(at);
+        }
+        let told = Evidence {
+            peak: f64::from(record.peak).clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1),
+            late_fraction: f64::from(record.late_fraction),
+        };
+        self.caution.hear(&told, age, passed, now);
+        true
+    }
+
     /// Returns the moving average of the passes seen.
     #[must_use]
     pub fn mean_pass(&self) -> Duration {
@@ -177,6 +238,14 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "factors and fractions need few digits"
+)]
+const fn single(value: f64) -> f32 {
+    value as f32
+}
+
 /// Returns the weight of a sample in an exponentially weighted moving average with time constant
 /// `time`, `passed` after the sample before.
 pub(crate) fn ewma_weight(passed: Duration, time: Duration) -> f64 {
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -26,6 +26,7 @@
 use tokio::time::interval;
 
 use crate::crash;
+use crate::forecast;
 use crate::limit;
 use crate::shared::MAX_DATAGRAM_BYTES;
 use crate::shared::Shared;
@@ -97,6 +98,7 @@
     messages.extend((!marks.is_empty()).then_some(Datagram::Crashes(marks)));
     let notices = shared.gateway().heartbeat_limits(now);
     messages.extend((!notices.is_empty()).then_some(Datagram::Limits(notices)));
+    messages.extend(forecast::message(shared, now));
     shared.send_all(&messages, &targets);
     limit::lend(shared);
     ask_settled(shared, now, rng);
@@ -263,7 +265,8 @@
         }
         Datagram::TransferQuery(query) => transfer::answer(shared, &query, from),
         Datagram::TransferReply(reply) => transfer::receive(shared, reply, from),
-        Datagram::Demand(_) | Datagram::Forecasts(_) => {}
+        Datagram::Forecasts(records) => forecast::merge(shared, &records),
+        Datagram::Demand(_) => {}
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod endpoints;
 mod exchange;
 mod flight;
+mod forecast;
 mod gossip;
 mod head;
 mod limit;
