Fill by the expected streams in time, from passes that all gateways saw

The distribution of the largest factor that a usual stream meets replaces late fraction and peak in what gateways tell each other.

--- a/crates/admission/src/forecast.rs
+++ b/crates/admission/src/forecast.rs
@@ -33,10 +33,8 @@
     pub group: GroupTag,
     /// Imbalance factor of the newest pass.
     pub factor: f32,
-    /// Largest factor right after a shift of demand.
-    pub peak: f32,
-    /// Estimated fraction of streams that have a long pass, from 0 to 1.
-    pub late_fraction: f32,
+    /// Factor that the group is best filled for; 0 if the sender saw too few passes to tell.
+    pub fill: f32,
     /// Age of the newest pass, in milliseconds.
     pub age_ms: u16,
 }
@@ -51,11 +49,8 @@
     /// Returns whether its values can be told apart from damage.
     #[must_use]
     pub fn is_valid(&self) -> bool {
-        let is_factor = |factor: f32| factor.is_finite() && factor > 0.0;
-        is_factor(self.factor)
-            && is_factor(self.peak)
-            && (0.0..=1.0).contains(&self.late_fraction)
-            && self.age() < MAX_AGE
+        let is_factor = |factor: f32| factor.is_finite() && factor >= 0.0;
+        is_factor(self.factor) && is_factor(self.fill) && self.age() < MAX_AGE
     }
 }
 
--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -1,3 +1,5 @@
 //! Tests of who gets scarce capacity.
 
+mod exposure;
+mod forecast;
 mod standing;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use auburnline_admission::feature::Feature;
 use auburnline_core::error::Kind as ErrorKind;
 use auburnline_core::id::GroupId;
 use auburnline_core::time::Monotonic;
@@ -337,6 +338,9 @@
         };
         let pace = self.paces.entry(group.clone()).or_default();
         pace.observe(&engine, longest, pause, traffic.load, now);
+        if self.features.contains(&Feature::SharedForecasts) {
+            pace.share(&engine, longest, traffic.load, now);
+        }
     }
 
     /// Returns the pass-time model of a group, if there is one yet.
--- a/crates/gateway/src/caution.rs
+++ b/crates/gateway/src/caution.rs
@@ -9,7 +9,6 @@
 
 use std::time::Duration;
 
-use auburnline_admission::forecast::Mean;
 use auburnline_core::time::Monotonic;
 
 use crate::pace::ewma_weight;
@@ -34,13 +33,6 @@
     pub(crate) stream: Duration,
 }
 
-/// What one gateway saw of a group's long passes.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Evidence {
-    pub(crate) peak: f64,
-    pub(crate) late_fraction: f64,
-}
-
 /// What was learned of a group's long passes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Caution {
@@ -49,8 +41,6 @@
     long_at: Option<Monotonic>,
     /// Estimated fraction of streams that have a long pass.
     late_fraction: f64,
-    /// The same fraction as all gateways that tell theirs see it.
-    shared_late_fraction: Mean,
     is_on: bool,
 }
 
@@ -67,38 +57,8 @@
         let is_late = f64::from(u8::from(is_late));
         self.late_fraction +=
             (is_late - self.late_fraction) * ewma_weight(passed, LATE_TIME_CONSTANT);
-        self.decide(now);
-    }
-
-    /// Records what a gateway, this one or another, told `age` after it saw it, `passed` after the
-    /// last pass known here.
-    pub(crate) fn hear(
-        &mut self,
-        told: &Evidence,
-        age: Duration,
-        passed: Duration,
-        now: Monotonic,
-    ) {
-        self.peak *= 1.0 - ewma_weight(passed, PEAK_TIME_CONSTANT);
-        let peak = told.peak * (1.0 - ewma_weight(age, PEAK_TIME_CONSTANT));
-        self.peak = self.peak.max(peak);
-        self.shared_late_fraction.add(told.late_fraction, age, now);
-        self.decide(now);
-    }
-
-    /// Returns what this gateway saw itself.
-    pub(crate) const fn evidence(&self) -> Evidence {
-        Evidence {
-            peak: self.peak,
-            late_fraction: self.late_fraction,
-        }
-    }
-
-    fn decide(&mut self, now: Monotonic) {
-        let shared = self.shared_late_fraction.value(now);
-        let late_fraction = shared.unwrap_or(self.late_fraction);
         let (start, end) = LATE_THRESHOLDS;
-        self.is_on = late_fraction > if self.is_on { end } else { start };
+        self.is_on = self.late_fraction > if self.is_on { end } else { start };
     }
 
     /// Returns the factor to fill the group for; none while it needs no caution.
--- a/crates/gateway/src/forecast.rs
+++ b/crates/gateway/src/forecast.rs
@@ -4,15 +4,21 @@
 //! different ones fill the group differently. With each heartbeat a gateway tells some others what
 //! it saw itself; see [`auburnline_admission::forecast`] and [`crate::pace`].
 
+use std::time::Duration;
+
 use auburnline_admission::feature::Feature;
 use auburnline_admission::forecast::GroupTag;
 use auburnline_admission::forecast::MAX_RECORDS;
 use auburnline_admission::forecast::Record;
 use auburnline_core::hash::stable;
+use auburnline_core::id::GroupId;
 use auburnline_core::time::Monotonic;
 use rand::seq::IteratorRandom as _;
 
 use crate::gateway::Gateway;
+use crate::pace;
+use crate::pace::Load;
+use crate::route::Engine;
 
 /// Number of records that were merged, and of those that said nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -31,9 +37,18 @@
             return Vec::new();
         }
         let mut records = Vec::new();
-        for (group, pace) in &mut self.paces {
-            if let Some(record) = pace.record(tag(group), now) {
-                pace.hear(&record, now);
+        let groups: Vec<GroupId> = self.paces.keys().cloned().collect();
+        for group in groups {
+            let Some(state) = self.state(&group) else {
+                continue;
+            };
+            let Some(pace) = self.paces.get_mut(&group) else {
+                continue;
+            };
+            pace.refresh(now);
+            let cost = pace::cost(&state.engine, state.longest, state.load);
+            if let Some(record) = pace.record(tag(&group), &cost, now) {
+                pace.hear(&record, &state.engine, state.longest, state.load, now);
                 records.push(record);
             }
         }
@@ -50,9 +65,11 @@
         }
         for record in records.iter().take(MAX_RECORDS) {
             let group = self.groups.names().find(|group| tag(group) == record.group);
-            let is_used = group.cloned().is_some_and(|group| {
+            let group = group.cloned();
+            let state = group.as_deref().and_then(|group| self.state(group));
+            let is_used = group.zip(state).is_some_and(|(group, state)| {
                 let pace = self.paces.entry(group).or_default();
-                pace.hear(record, now)
+                pace.hear(record, &state.engine, state.longest, state.load, now)
             });
             if is_used {
                 merged.used += 1;
@@ -62,6 +79,30 @@
         }
         merged
     }
+
+    /// Returns what a group's leader reported last and the terms of its service; none if that is
+    /// unknown.
+    fn state(&self, group: &str) -> Option<State> {
+        let digest = self.groups.report(group)?;
+        let longest = self.table()?.longest_pause(&digest.service)?;
+        let load = Load {
+            ranks: u32::try_from(digest.engines.len()).ok()?,
+            in_flight: digest.engines.iter().map(|engine| engine.requests).sum(),
+            ..Load::default()
+        };
+        Some(State {
+            engine: self.engine(&digest.service)?,
+            longest,
+            load,
+        })
+    }
+}
+
+/// A group as its leader reported it, and the terms of its service.
+struct State {
+    engine: Engine,
+    longest: Duration,
+    load: Load,
 }
 
 fn tag(group: &str) -> GroupTag {
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -104,6 +104,11 @@
         self.states.keys()
     }
 
+    /// Returns the last report of a group's leader.
+    pub(crate) fn report(&self, group: &str) -> Option<&Digest> {
+        Some(&self.states.get(group)?.digest)
+    }
+
     /// Returns the newest reports, for a gateway that has just started.
     pub fn recent_reports(&self, now: Monotonic) -> impl Iterator<Item = &Digest> {
         let recent = self
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -9,15 +9,17 @@
 
 use std::time::Duration;
 
+use auburnline_admission::exposure::Cost;
+use auburnline_admission::exposure::Exposure;
 use auburnline_admission::forecast;
 use auburnline_admission::forecast::MAX_FACTOR_AGE;
+use auburnline_admission::forecast::Mean;
 use auburnline_core::time::Monotonic;
 use auburnline_lockstep::rank::NOMINAL_SLOWDOWN_PERCENT;
 use auburnline_lockstep::rank::slowdown;
 
 use crate::caution;
 use crate::caution::Caution;
-use crate::caution::Evidence;
 use crate::caution::SHIFTED_TARGET_FRACTION;
 use crate::route::Engine;
 
@@ -39,6 +41,9 @@
 const STALL_PAUSES: f64 = 4.0;
 /// Difference in the pace of the slowest rank, in hundredths, up to which it counts as unchanged.
 const PACE_TOLERANCE: u16 = 10;
+/// Part of what a group can carry from which its passes tell how far to fill it. With fewer
+/// requests a prompt that is read takes most of a pass.
+const LOADED_FRACTION: f64 = 0.5;
 /// Fewest requests per rank, so that a wrong factor never closes a group.
 const MIN_PER_RANK: f64 = 1.0;
 
@@ -90,6 +95,12 @@
     mean_pass: f64,
     /// When the newest pass of an own stream ended, and its factor.
     own: Option<(Monotonic, f64)>,
+    /// What streams meet, by the passes of all gateways.
+    exposure: Exposure,
+    /// Factor to fill the group for, as gateways tell it.
+    told_fill: Mean,
+    /// The same while it is fresh.
+    fill: Option<f64>,
     /// When the group formed, if it did so since this gateway started.
     formed_at: Option<Monotonic>,
 }
@@ -104,6 +115,9 @@
             seen_at: None,
             mean_pass: 0.0,
             own: None,
+            exposure: Exposure::default(),
+            told_fill: Mean::default(),
+            fill: None,
             formed_at: None,
         }
     }
@@ -134,6 +148,9 @@
             // future shifts of demand.
             self.slowest = slowest;
             self.caution = Caution::default();
+            self.exposure = Exposure::default();
+            self.told_fill = Mean::default();
+            self.fill = None;
         }
         let pause = pause.as_secs_f64();
         if pause > longest.as_secs_f64() * STALL_PAUSES || load.in_flight == 0 {
@@ -159,25 +176,42 @@
         self.caution.observe(&pass, passed, now);
     }
 
+    /// Adds the newest pass of an own stream to what gateways tell each other.
+    pub fn share(&mut self, engine: &Engine, longest: Duration, load: Load, now: Monotonic) {
+        if let Some((_, factor)) = self.own.filter(|(at, _)| *at == now) {
+            self.expose(factor, engine, longest, load, now);
+        }
+    }
+
     /// Returns what this gateway saw of the group's passes; none without recent ones.
     #[must_use]
-    pub fn record(&self, group: forecast::GroupTag, now: Monotonic) -> Option<forecast::Record> {
+    pub fn record(
+        &self,
+        group: forecast::GroupTag,
+        cost: &Cost,
+        now: Monotonic,
+    ) -> Option<forecast::Record> {
         let (at, factor) = self.own?;
         let age = now.saturating_sub(at);
-        let evidence = self.caution.evidence();
         let record = forecast::Record {
             group,
             factor: single(factor),
-            peak: single(evidence.peak),
-            late_fraction: single(evidence.late_fraction),
+            fill: single(self.exposure.best(cost).unwrap_or(0.0)),
             age_ms: u16::try_from(age.as_millis()).unwrap_or(u16::MAX),
         };
         record.is_valid().then_some(record)
     }
 
-    /// Adds what a gateway saw of the group's passes, this one or another; returns whether it says
-    /// anything about the group.
-    pub fn hear(&mut self, record: &forecast::Record, now: Monotonic) -> bool {
+    /// Adds what a gateway saw of the group's passes, this one or another, while `load` runs;
+    /// returns whether it says anything about the group.
+    pub fn hear(
+        &mut self,
+        record: &forecast::Record,
+        engine: &Engine,
+        longest: Duration,
+        load: Load,
+        now: Monotonic,
+    ) -> bool {
         let age = record.age();
         let at = now.saturating_sub(age);
         if !record.is_valid() || self.formed_at.is_some_and(|formed_at| at < formed_at) {
@@ -191,15 +225,39 @@
             self.factor += (seen - self.factor) * ewma_weight(passed, FACTOR_TIME_CONSTANT);
             self.recent += (seen - self.recent) * ewma_weight(passed, RECENT_TIME_CONSTANT);
             self.seen_at = Some(at);
+            self.expose(seen, engine, longest, load, at);
         }
-        let told = Evidence {
-            peak: f64::from(record.peak).clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1),
-            late_fraction: f64::from(record.late_fraction),
-        };
-        self.caution.hear(&told, age, passed, now);
+        if record.fill > 0.0 {
+            self.told_fill.add(record.fill.into(), age, now);
+        }
+        self.refresh(now);
         true
     }
 
+    /// Drops what was told too long ago.
+    pub fn refresh(&mut self, now: Monotonic) {
+        let fill = self.told_fill.value(now);
+        self.fill = fill.map(|fill| fill.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1));
+    }
+
+    fn expose(
+        &mut self,
+        factor: f64,
+        engine: &Engine,
+        longest: Duration,
+        load: Load,
+        at: Monotonic,
+    ) {
+        let cost = cost(engine, longest, load);
+        let requests = f64::from(load.in_flight);
+        if requests < cost.most(self.factor.max(self.recent)) * LOADED_FRACTION {
+            return;
+        }
+        let pass = cost.pass(self.factor, requests).min(cost.longest);
+        let life = Duration::from_secs_f64(pass * engine.passes());
+        self.exposure.observe(factor, life, at);
+    }
+
     /// Returns the moving average of the passes seen.
     #[must_use]
     pub fn mean_pass(&self) -> Duration {
@@ -209,7 +267,7 @@
     /// Returns whether the group is filled only as far as passes right after a shift of demand
     /// allow.
     pub(crate) fn is_cautious(&self) -> bool {
-        self.caution.factor().is_some()
+        self.caution.factor().is_some() || self.fill.is_some_and(|fill| fill > self.factor)
     }
 
     /// Predicts the pass with one more request, and how many requests the group can carry.
@@ -218,17 +276,22 @@
         let even_slope = slope(engine, load.ranks);
         let factor = self.factor.max(self.recent);
         let slope = even_slope * factor;
-        let longest = longest.as_secs_f64();
         let ranks = f64::from(load.ranks.max(1));
         let slots = ranks * f64::from(engine.slots);
         let base = base(engine, load);
-        let most = (longest * TARGET_FRACTION - base) / slope;
-        let most_after_shift = self.caution.factor().map_or(f64::INFINITY, |factor| {
-            (longest * SHIFTED_TARGET_FRACTION - base) / (even_slope * factor)
-        });
-        let most = most
-            .min(most_after_shift)
-            .clamp(ranks * MIN_PER_RANK, slots);
+        let most = if let Some(fill) = self.fill {
+            let cost = cost(engine, longest, load);
+            let most_now = (cost.longest * SHIFTED_TARGET_FRACTION - base) / slope;
+            cost.most(fill).min(most_now)
+        } else {
+            let longest = longest.as_secs_f64();
+            let most = (longest * TARGET_FRACTION - base) / slope;
+            let most_after_shift = self.caution.factor().map_or(f64::INFINITY, |factor| {
+                (longest * SHIFTED_TARGET_FRACTION - base) / (even_slope * factor)
+            });
+            most.min(most_after_shift)
+        };
+        let most = most.clamp(ranks * MIN_PER_RANK, slots);
         let pass = base + slope * f64::from(load.in_flight + 1);
         Prediction {
             most,
@@ -252,6 +315,14 @@
     1.0 - (-passed.as_secs_f64() / time.as_secs_f64()).exp()
 }
 
+pub(crate) fn cost(engine: &Engine, longest: Duration, load: Load) -> Cost {
+    Cost {
+        base: base(engine, load),
+        slope: slope(engine, load.ranks),
+        longest: longest.as_secs_f64(),
+    }
+}
+
 /// Returns the seconds of a pass without requests: those of the slowest busy rank, for which all
 /// others wait.
 fn base(engine: &Engine, load: Load) -> f64 {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod evacuation;
 mod event;
 mod fleet;
+mod forecast;
 mod freshness;
 mod gateway;
 mod group;
