--- a/crates/gateway/src/forecast.rs
+++ b/crates/gateway/src/forecast.rs
@@ -57,6 +57,14 @@
             .choose_multiple(&mut self.rng, MAX_RECORDS)
     }
 
+    /// Returns the number of groups that are filled only as far as passes after a shift of demand
+    /// allow.
+    #[must_use]
+    pub fn cautious_groups(&self) -> usize {
+        let paces = self.paces.values();
+        paces.filter(|pace| pace.is_cautious()).count()
+    }
+
     /// Merges what another gateway saw of groups' passes.
     pub fn merge_forecasts(&mut self, records: &[Record], now: Monotonic) -> Merged {
         let mut merged = Merged::default();
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -70,7 +70,9 @@
     /// Time of a pass with one more request.
     pub pass: Duration,
     /// Imbalance factor that the prediction used.
-    pub factor: f64,
+    pub factor: f32,
+    /// Factor that the group is filled for, as gateways tell each other; 0 if they don't.
+    pub fill: f32,
 }
 
 impl Prediction {
@@ -296,7 +298,8 @@
         Prediction {
             most,
             pass: Duration::from_secs_f64(pass),
-            factor,
+            factor: single(factor),
+            fill: single(self.fill.unwrap_or(0.0)),
         }
     }
 }
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -74,6 +74,7 @@
         most:? = prediction.map(|prediction| prediction.most),
         pass_ms:? = prediction.map(|prediction| millis(prediction.pass)),
         factor:? = prediction.map(|prediction| prediction.factor),
+        fill:? = prediction.map(|prediction| prediction.fill),
         cautious:? = basis.map(|basis| basis.is_cautious),
         limited:?,
         backing_off_ms:? = backing_off,
