--- a/crates/admission/src/exposure.rs
+++ b/crates/admission/src/exposure.rs
@@ -23,8 +23,16 @@
 const FACTORS: usize = 36;
 /// Time constant of the distribution: several shifts where they are frequent.
 const TIME_CONSTANT: Duration = Duration::from_secs(8);
-/// Weight of the evidence from which the distribution decides: that of two to three seconds.
-const LEAST_EVIDENCE: f64 = 0.25;
+/// Weight of the evidence from which the distribution decides: that of the first few passes.
+const LEAST_EVIDENCE: f64 = 0.02;
+/// Weight of streams of the first life. A group forms with a map that knows no demand, as right
+/// after a shift, so its first passes tell what a shift would do, but not whether one comes.
+const FIRST_WEIGHT: f64 = 0.25;
+/// Value of a late stream relative to one in time, where callers' own values are unknown.
+const LATE_VALUE: f64 = 0.0;
+/// Parts of a pass in which the passes told by several gateways count as one. Each knows the load
+/// only roughly, and the largest of many rough values would be too large.
+const PASS_PARTS: u32 = 2;
 /// Most passes kept of a stream's life, those of falling factors only.
 const MAX_KEPT: usize = 64;
 
@@ -53,9 +61,19 @@
     }
 }
 
+/// A pass, as one or several gateways saw it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Slot {
+    start: Monotonic,
+    sum: f64,
+    samples: f64,
+}
+
 /// Distribution of the largest factor during a stream's life.
 #[derive(Clone, Debug)]
 pub struct Exposure {
+    /// Newest pass.
+    newest: Slot,
     /// Passes of the last stream's life, each with a larger factor than all later ones.
     kept: VecDeque<(Monotonic, f64)>,
     /// Fraction of streams by largest factor; the sum grows to 1 with the evidence.
@@ -69,6 +87,7 @@
 impl Default for Exposure {
     fn default() -> Exposure {
         Exposure {
+            newest: Slot::default(),
             kept: VecDeque::new(),
             fractions: [0.0; FACTORS],
             mean: 0.0,
@@ -79,8 +98,22 @@
 }
 
 impl Exposure {
-    /// Records the factor of a pass while a usual stream lives for `life`.
-    pub fn observe(&mut self, factor: f64, life: Duration, now: Monotonic) {
+    /// Records the factor of a pass, as one gateway saw it, while passes take `pass` and a usual
+    /// stream lives for `life`.
+    pub fn observe(&mut self, factor: f64, pass: Duration, life: Duration, now: Monotonic) {
+        let newest = self.newest;
+        if newest.samples > 0.0 && now >= newest.start + pass / PASS_PARTS {
+            self.add(newest.sum / newest.samples, life, newest.start);
+            self.newest = Slot::default();
+        }
+        if self.newest.samples <= 0.0 {
+            self.newest.start = now;
+        }
+        self.newest.sum += factor;
+        self.newest.samples += 1.0;
+    }
+
+    fn add(&mut self, factor: f64, life: Duration, now: Monotonic) {
         let first_at = *self.first_at.get_or_insert(now);
         let passed = now.saturating_sub(self.last_at.max(first_at));
         self.last_at = now.max(self.last_at);
@@ -100,10 +133,8 @@
         } else {
             factor
         };
-        if now < first_at + life {
-            // Streams that started before the first pass known may have met a larger factor.
-            return;
-        }
+        let is_first = now < first_at + life;
+        let weight = weight * if is_first { FIRST_WEIGHT } else { 1.0 };
         self.fractions
             .iter_mut()
             .for_each(|fraction| *fraction *= 1.0 - weight);
@@ -126,7 +157,8 @@
         for fraction in self.fractions {
             factor *= FACTOR_RATIO;
             in_time += fraction / evidence;
-            let rate = rate(cost, self.mean, cost.most(factor), in_time);
+            let value = in_time + LATE_VALUE * (1.0 - in_time);
+            let rate = rate(cost, self.mean, cost.most(factor), value);
             if rate > best.0 {
                 best = (rate, Some(factor));
             }
@@ -135,11 +167,11 @@
     }
 }
 
-/// Returns the streams in time per second and pass of a stream, at a fill and a fraction of streams
-/// that no long pass meets.
+/// Returns the value of the streams served per second, in units of a pass of a stream in time, at a
+/// fill and a mean value of a stream.
 #[must_use]
-pub fn rate(cost: &Cost, mean_factor: f64, requests: f64, in_time: f64) -> f64 {
-    requests / cost.pass(mean_factor, requests) * in_time
+pub fn rate(cost: &Cost, mean_factor: f64, requests: f64, value: f64) -> f64 {
+    requests / cost.pass(mean_factor, requests) * value
 }
 
 #[expect(
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -256,8 +256,9 @@
             return;
         }
         let pass = cost.pass(self.factor, requests).min(cost.longest);
-        let life = Duration::from_secs_f64(pass * engine.passes());
-        self.exposure.observe(factor, life, at);
+        let pass = Duration::from_secs_f64(pass);
+        let life = pass.mul_f64(engine.passes());
+        self.exposure.observe(factor, pass, life, at);
     }
 
     /// Returns the moving average of the passes seen.
