--- a/crates/admission/src/exposure.rs
+++ b/crates/admission/src/exposure.rs
@@ -29,7 +29,7 @@
 /// after a shift, so its first passes tell what a shift would do, but not whether one comes.
 const FIRST_WEIGHT: f64 = 0.25;
 /// Value of a late stream relative to one in time, where callers' own values are unknown.
-const LATE_VALUE: f64 = 0.0;
+const LATE_VALUE: f64 = 0.5;
 /// Parts of a pass in which the passes told by several gateways count as one. Each knows the load
 /// only roughly, and the largest of many rough values would be too large.
 const PASS_PARTS: u32 = 2;
