--- a/crates/admission/src/exposure.rs
+++ b/crates/admission/src/exposure.rs
@@ -18,21 +18,18 @@
 /// Smallest factor told apart.
 const LEAST_FACTOR: f64 = 0.8;
 /// Ratio of two neighbouring factors that are told apart: less than passes of one state differ by.
-const FACTOR_RATIO: f64 = 1.06;
+const FACTOR_RATIO: f64 = 1.03;
 /// Factors told apart; the largest is six times even work.
-const FACTORS: usize = 36;
+const FACTORS: usize = 70;
 /// Time constant of the distribution: several shifts where they are frequent.
 const TIME_CONSTANT: Duration = Duration::from_secs(8);
 /// Weight of the evidence from which the distribution decides: that of the first few passes.
-const LEAST_EVIDENCE: f64 = 0.02;
+const LEAST_EVIDENCE: f64 = 0.01;
 /// Weight of streams of the first life. A group forms with a map that knows no demand, as right
 /// after a shift, so its first passes tell what a shift would do, but not whether one comes.
-const FIRST_WEIGHT: f64 = 0.25;
+const FIRST_WEIGHT: f64 = 0.1;
 /// Value of a late stream relative to one in time, where callers' own values are unknown.
 const LATE_VALUE: f64 = 0.5;
-/// Parts of a pass in which the passes told by several gateways count as one. Each knows the load
-/// only roughly, and the largest of many rough values would be too large.
-const PASS_PARTS: u32 = 2;
 /// Most passes kept of a stream's life, those of falling factors only.
 const MAX_KEPT: usize = 64;
 
@@ -102,7 +99,9 @@
     /// stream lives for `life`.
     pub fn observe(&mut self, factor: f64, pass: Duration, life: Duration, now: Monotonic) {
         let newest = self.newest;
-        if newest.samples > 0.0 && now >= newest.start + pass / PASS_PARTS {
+        if newest.samples > 0.0 && now >= newest.start + pass {
+            // Each gateway knows the load only roughly, and the largest of many rough values would
+            // be too large.
             self.add(newest.sum / newest.samples, life, newest.start);
             self.newest = Slot::default();
         }
@@ -181,5 +180,5 @@
 )]
 fn index(factor: f64) -> usize {
     let steps = (factor / LEAST_FACTOR).ln() / FACTOR_RATIO.ln();
-    steps.clamp(0.0, 35.0) as usize
+    steps.clamp(0.0, 69.0) as usize
 }
