--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`comeback`]: when a refused caller is to return, and what one that returned has spent
 //! - [`demand`]: the demand by which gateways divide capacity
+//! - [`exposure`]: how far a group is filled where demand for experts shifts
 //! - [`forecast`]: what gateways tell each other of forward passes
 //! - [`feature`]: which of these decisions the settings enable
 //! - [`patience`]: how long a request may be held
@@ -14,6 +15,7 @@
 
 pub mod comeback;
 pub mod demand;
+pub mod exposure;
 pub mod feature;
 pub mod forecast;
 pub mod patience;
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -118,6 +118,16 @@
         true
     }
 
+    /// Returns the names of all groups that a leader reported.
+    pub(crate) fn names(&self) -> impl Iterator<Item = &GroupId> {
+        self.states.keys()
+    }
+
+    /// Returns the last report of a group's leader.
+    pub(crate) fn report(&self, group: &str) -> Option<&Digest> {
+        Some(&self.states.get(group)?.digest)
+    }
+
     /// Returns the newest reports, for a gateway that has just started.
     pub fn recent_reports(&self, now: Monotonic) -> impl Iterator<Item = &Digest> {
         let recent = self
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`pace`]: how many streams a group can serve in time
 //! - `waiting`: in which order requests that wait are sent
 //! - `caution`: how far a group is filled where demand shifts often
+//! - [`forecast`]: what gateways tell each other of a group's passes
 //! - [`report`]: the load that group leaders report
 //! - [`neighbour`]: which other gateways are alive
 //! - [`message`]: the messages between gateways
@@ -44,6 +45,7 @@
 mod departure;
 pub mod evacuation;
 pub mod event;
+pub mod forecast;
 pub mod freshness;
 pub mod gateway;
 pub mod group;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -148,8 +148,6 @@
     }
 }
 
-}
-
 impl Exchange {
     fn new(shared: Rc<Shared>, arrival: Arrival, plan: Plan) -> Exchange {
         Exchange {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod endpoints;
 mod exchange;
 mod flight;
+mod forecast;
 mod gossip;
 mod head;
 mod hold;
