--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,13 +9,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use auburnline_admission::feature::Feature;
+use auburnline_admission::reserve::Reserve;
 use auburnline_core::error::Kind as ErrorKind;
 use auburnline_core::id::GroupId;
 use auburnline_core::time::Monotonic;
 use rand::Rng as _;
 
-use crate::allowance::Allowance;
+use crate::allowance::Grant;
 use crate::allowance::REPORT_INTERVAL;
+use crate::demand::Expected;
 use crate::gateway::Gateway;
 use crate::gateway::NO_UPSTREAM_RETRY;
 use crate::headroom::Headroom;
@@ -286,7 +289,7 @@
             }
             let pace = self.paces.entry(group.clone()).or_default();
             let prediction = pace.predict(engine, longest, traffic.load);
-            let mut headroom = Headroom {
+            let headroom = Headroom {
                 group,
                 traffic,
                 prediction,
@@ -295,10 +298,16 @@
                 turnover: REPORT_INTERVAL.as_secs_f64() / prediction.stream(engine).as_secs_f64(),
                 gateways,
                 is_cautious: pace.is_cautious(),
+                demand: None,
+                reserve: Reserve::default(),
+                standing,
             };
-            headroom.allowance = self.allowance(&headroom, now);
             headrooms.push(headroom);
         }
+        let expected = self.expect_demand(&plan.service, headrooms.len(), now);
+        for headroom in &mut headrooms {
+            self.set_shares(headroom, &expected, now);
+        }
         let sum: f64 = headrooms
             .iter()
             .map(|headroom| headroom.weight(standing))
@@ -311,19 +320,38 @@
         });
         match picked {
             Some(picked) => headrooms.into_iter().nth(picked),
-            None => headrooms
-                .into_iter()
-                .max_by(|one, other| one.capacity_left().total_cmp(&other.capacity_left())),
+            // Rounding of the sum may leave a free group that was not picked.
+            None => headrooms.into_iter().max_by(|one, other| {
+                let free = one.is_free(standing).cmp(&other.is_free(standing));
+                free.then(one.capacity_left().total_cmp(&other.capacity_left()))
+            }),
         }
     }
 
-    /// Returns this gateway's share of a group's headroom, if the group's leader reports its load.
-    fn allowance(&mut self, headroom: &Headroom, now: Monotonic) -> Option<Allowance> {
-        let reported_at = now.saturating_sub(headroom.traffic.report_age?);
+    /// Sets what is withheld of a group's headroom, and this gateway's share of the rest if the
+    /// group's leader reports its load.
+    fn set_shares(&mut self, headroom: &mut Headroom, expected: &Expected, now: Monotonic) {
+        let most = headroom.prediction.most;
+        headroom.reserve = Reserve::new(most, expected.arrivals, expected.parts);
+        let Some(age) = headroom.traffic.report_age else {
+            return;
+        };
+        headroom.demand = expected.shares;
+        let grant = Grant {
+            headroom: headroom.sendable(),
+            gateways: headroom.gateways,
+            demand: headroom.demand,
+            reserve: headroom.reserve,
+            carries_idle: self.features.contains(&Feature::DemandShares),
+        };
         let offset = self.rng.random();
+        let reported_at = now.saturating_sub(age);
         let allowance = self.allowances.entry(headroom.group.clone()).or_default();
-        allowance.update(reported_at, headroom.sendable(), headroom.gateways, offset);
-        Some(*allowance)
+        if allowance.is_due(reported_at) {
+            self.demand.count_grant(&grant);
+        }
+        allowance.update(reported_at, &grant, offset);
+        headroom.allowance = Some(*allowance);
     }
 
     /// Records the pause between two events of a stream of `group`.
--- a/crates/gateway/src/assign.rs
+++ b/crates/gateway/src/assign.rs
@@ -118,7 +118,7 @@
         }
         let group = self.group_of(&choice.upstream);
         if let Some(allowance) = self.allowances.get_mut(&group) {
-            allowance.spend();
+            allowance.spend(plan.standing());
         }
         group
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 
 use crate::allowance::Allowance;
 use crate::backoff::Backoffs;
+use crate::demand::Demand;
 use crate::freshness::Freshness;
 use crate::group::Groups;
 use crate::limit::Limits;
@@ -98,6 +99,8 @@
     pub(crate) all_unavailable_at: HashMap<ServiceId, Monotonic>,
     pub(crate) budget: Budget<ServiceId, ServiceId>,
     pub(crate) rng: ChaCha8Rng,
+    /// Demand here and at other gateways.
+    pub(crate) demand: Demand,
     /// Decisions that the settings enable.
     pub(crate) features: Features,
     /// Known upstreams and the requests in flight there.
@@ -165,6 +168,7 @@
             warm_ups: WarmUps::default(),
             transfer: Transfer::default(),
             receivers: Receivers::default(),
+            demand: Demand::default(),
             features: Features::new(),
             bounds,
         }
@@ -270,6 +274,9 @@
         } else {
             0
         };
+        if engine.is_some() && self.follows_demand() {
+            self.demand.record(&service, urgency, now);
+        }
         Ok(Plan {
             route: Arc::clone(route),
             urgency,
@@ -343,6 +350,9 @@
             // before.
             self.paces.remove(digest.group.as_str());
         }
+        if let Some(allowance) = self.allowances.get_mut(digest.group.as_str()) {
+            allowance.hear(is_changed, now);
+        }
         Update {
             is_changed,
             has_slowed,
--- a/crates/gateway/src/headroom.rs
+++ b/crates/gateway/src/headroom.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use auburnline_admission::reserve::Reserve;
+use auburnline_admission::share::Grounds;
 use auburnline_admission::standing::Standing;
 use auburnline_core::id::GroupId;
 
@@ -19,6 +21,7 @@
 /// its share of what the group can carry: callers are spread unevenly, and the counts of other
 /// gateways are partly missing.
 const UNREPORTED_SHARE_FACTOR: f64 = 1.5;
+
 /// Load of a group and this gateway's part of it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Traffic {
@@ -48,6 +51,12 @@
     pub(crate) prediction: Prediction,
     /// This gateway's share of the headroom, where the leader reports the load.
     pub(crate) allowance: Option<Allowance>,
+    /// Demand by which that share is set; without it, shares are equal.
+    pub(crate) demand: Option<Grounds>,
+    /// What is withheld for requests that go first.
+    pub(crate) reserve: Reserve,
+    /// Standing of the request that is decided on.
+    pub(crate) standing: Standing,
     /// Fraction of its streams that end between two reports of the leader.
     pub(crate) turnover: f64,
     /// Requests that its ranks run at once.
@@ -75,19 +84,30 @@
     /// Returns the weight of the group in a random choice among groups, in streams.
     pub(crate) fn weight(&self, standing: Standing) -> f64 {
         if self.is_free(standing) {
-            self.sendable()
+            self.sendable() - self.withheld(standing)
         } else {
             0.0
         }
     }
 
     /// Returns whether this gateway may send one more stream of this standing there.
-    pub(crate) fn is_free(&self, _standing: Standing) -> bool {
+    pub(crate) fn is_free(&self, standing: Standing) -> bool {
+        let withheld = self.withheld(standing);
         if let Some(allowance) = self.allowance {
-            return self.sendable() > 0.0 && allowance.is_left();
+            return self.sendable() > withheld && allowance.is_left(standing);
         }
         let own = f64::from(self.traffic.own);
-        self.capacity_left() > 0.0 && own < self.unreported_share().max(1.0)
+        self.capacity_left() > withheld && own < self.unreported_share().max(1.0)
+    }
+
+    /// Returns the capacity that the group must keep beyond a request. Of requests in time, the
+    /// less urgent ones leave theirs by their allowance alone, so that each keeps a part.
+    fn withheld(&self, standing: Standing) -> f64 {
+        if standing.is_late {
+            self.reserve.withheld(standing)
+        } else {
+            0.0
+        }
     }
 
     /// Returns the streams that this gateway may have in flight while no leader reports the load.
@@ -103,7 +123,11 @@
             gateways: u32::try_from(self.gateways).unwrap_or(u32::MAX),
             is_cautious: self.is_cautious,
             told: self.traffic.report_age,
-            allowance: self.allowance.map(Allowance::requests),
+            demand: self.demand,
+            withheld: self.reserve.withheld(self.standing),
+            allowance: self
+                .allowance
+                .map(|allowance| allowance.requests(self.standing)),
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`upstream`]: the pool of upstreams that accept work
 //! - `departure`: which upstreams are leaving or have left
 //! - [`evacuation`]: which failure domains get no new requests
+//! - [`demand`]: how much of a group's capacity is this gateway's
 //! - [`choice`]: which upstream a request is sent to
 //! - [`group`]: which upstreams run in lock-step
 //! - [`pace`]: how many streams a group can serve in time
@@ -37,6 +38,7 @@
 mod backoff;
 mod caution;
 pub mod choice;
+pub mod demand;
 mod departure;
 pub mod evacuation;
 pub mod event;
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -17,6 +17,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use auburnline_admission::share::Fleet;
 use auburnline_core::hash::rendezvous;
 use auburnline_core::id::InstanceId;
 use auburnline_core::time::Monotonic;
@@ -250,6 +251,28 @@
         1 + self.live_peers(now).count()
     }
 
+    /// Returns how many live gateways there are in the own failure domain and elsewhere.
+    pub(crate) fn fleet(&self, now: Monotonic) -> Fleet {
+        let live = self.live_peers(now);
+        let near = live.filter(|known| self.is_near(&known.entry)).count();
+        Fleet {
+            near: 1 + near,
+            far: self.live(now) - 1 - near,
+        }
+    }
+
+    fn is_near(&self, entry: &Entry) -> bool {
+        entry.failure_domain == self.own_entry.failure_domain
+    }
+
+    /// Returns the gateway that has this address for datagrams, and whether it is in the own failure
+    /// domain.
+    pub(crate) fn at(&self, peers: SocketAddr) -> Option<(&InstanceId, bool)> {
+        let mut others = self.others.values().map(|known| &known.entry);
+        let entry = others.find(|entry| entry.peers == peers)?;
+        Some((&entry.instance, self.is_near(entry)))
+    }
+
     /// Returns the number of members, including this gateway.
     fn members(&self, now: Monotonic) -> usize {
         let others = self.others.values();
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -26,6 +26,7 @@
 use tokio::time::interval;
 
 use crate::crash;
+use crate::demand;
 use crate::limit;
 use crate::shared::MAX_DATAGRAM_BYTES;
 use crate::shared::Shared;
@@ -97,6 +98,7 @@
     messages.extend((!marks.is_empty()).then_some(Datagram::Crashes(marks)));
     let notices = shared.gateway().heartbeat_limits(now);
     messages.extend((!notices.is_empty()).then_some(Datagram::Limits(notices)));
+    messages.extend(demand::tell(shared, now));
     shared.send_all(&messages, &targets);
     limit::lend(shared);
     ask_settled(shared, now, rng);
@@ -263,7 +265,11 @@
         }
         Datagram::TransferQuery(query) => transfer::answer(shared, &query, from),
         Datagram::TransferReply(reply) => transfer::receive(shared, reply, from),
-        Datagram::Demand(_) | Datagram::Forecasts(_) => {}
+        Datagram::Demand(reports) => {
+            let now = shared.now();
+            shared.gateway().receive_demand(&reports, from, now);
+        }
+        Datagram::Forecasts(_) => {}
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod condition;
 mod crash;
+mod demand;
 mod dialect;
 mod endpoints;
 mod exchange;
