--- a/crates/admission/src/reserve.rs
+++ b/crates/admission/src/reserve.rs
@@ -20,6 +20,11 @@
 /// reports.
 const MAX_DEBT: f64 = 1.0;
 
+/// Most requests that an account keeps of earlier reports for those that go before it.
+const MAX_RESERVED: f64 = 1.0;
+/// Most requests that an urgency keeps of earlier reports.
+const MAX_KEPT: f64 = 1.0;
+
 /// Capacity withheld from each standing, in requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Reserve {
@@ -62,6 +67,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Accounts {
     left: [f64; ACCOUNTS],
+    /// What is withheld from each account for requests that go before it.
+    reserved: [f64; ACCOUNTS],
     kept: [f64; MAX_URGENCIES],
 }
 
@@ -71,6 +78,7 @@
         for (left, withheld) in self.left.iter_mut().zip(reserve.withheld) {
             *left = share(headroom, withheld, part) - offset;
         }
+        self.reserved = reserve.withheld.map(|withheld| withheld * part);
         self.kept = [0.0; MAX_URGENCIES];
     }
 
@@ -80,13 +88,18 @@
             let share = share(headroom, withheld, part);
             *left = (*left + share * reports).min(share.max(most));
         }
-        let share = headroom.max(0.0) * part * reports;
+        for (reserved, withheld) in self.reserved.iter_mut().zip(reserve.withheld) {
+            let share = withheld.min(headroom.max(0.0)) * part;
+            *reserved = (*reserved + share * reports).min(share.max(MAX_RESERVED));
+        }
         for (kept, fraction) in self.kept.iter_mut().zip(reserve.kept) {
-            *kept = (*kept + share * fraction).min(1.0);
+            let share = headroom.max(0.0) * part * fraction;
+            *kept = (*kept + share * reports).min(share.max(MAX_KEPT));
         }
     }
 
-    /// Counts a request that is sent.
+    /// Counts a request that is sent: against what was withheld for it first, and for the rest against
+    /// what each other standing has left.
     pub fn spend(&mut self, standing: Standing) {
         let own = account(standing);
         if self.left[own] <= 0.0
@@ -94,10 +107,15 @@
         {
             *kept = (*kept - 1.0).max(-1.0);
         }
-        let [first, later @ ..] = &mut self.left;
-        *first -= 1.0;
-        for left in later {
-            *left = (*left - 1.0).max((-MAX_DEBT).min(*left));
+        for (at, (left, reserved)) in self.left.iter_mut().zip(&mut self.reserved).enumerate() {
+            let taken = if at > own {
+                reserved.clamp(0.0, 1.0)
+            } else {
+                0.0
+            };
+            *reserved -= taken;
+            let debt = if at == 0 { f64::INFINITY } else { MAX_DEBT };
+            *left = (*left + taken - 1.0).max((-debt).min(*left));
         }
     }
 
--- a/crates/admission/src/share.rs
+++ b/crates/admission/src/share.rs
@@ -24,7 +24,7 @@
 const MAX_AGE: Duration = Duration::from_secs(2);
 /// Reports that are kept, one of each sender: more than arrive within [`MAX_AGE`] in any fleet.
 const MAX_SAMPLES: usize = 64;
-/// Fewest gateways that must be heard for a mean, unless the fleet has fewer.
+/// Fewest gateways that must be heard for a mean, or half of the others if the fleet has fewer.
 const MIN_SAMPLES: usize = 12;
 /// Own reports that are kept: those of [`MAX_AGE`], at a heartbeat each 0.3 s, and one before.
 const MAX_OWN: usize = 8;
@@ -119,7 +119,7 @@
         let fresh = self.samples.iter();
         let fresh: Vec<&Sample> = fresh.filter(|one| is_fresh(one.heard, now)).collect();
         let newest = self.own.back().filter(|(told, _)| is_fresh(*told, now));
-        if others == 0 || fresh.len() < MIN_SAMPLES.min(others) || newest.is_none() {
+        if others == 0 || fresh.len() < MIN_SAMPLES.min(others.div_ceil(2)) || newest.is_none() {
             return None;
         }
         let then = fresh.iter().map(|sample| self.own_at(sample.heard));
