--- a/crates/admission/src/demand.rs
+++ b/crates/admission/src/demand.rs
@@ -25,7 +25,7 @@
 
 /// Time constant of the rate of arrivals: callers return after a refusal within about a second, and
 /// a gateway with few callers needs some seconds for a mean.
-const RATE_TIME_CONSTANT: Duration = Duration::from_secs(2);
+pub const RATE_TIME_CONSTANT: Duration = Duration::from_secs(2);
 /// Time from the start within which the rate is taken from too few arrivals to be told.
 const MIN_MEASURED: Duration = Duration::from_secs(1);
 /// Urgencies that are told apart; those beyond count as the last of them.
--- a/crates/admission/src/share.rs
+++ b/crates/admission/src/share.rs
@@ -9,6 +9,8 @@
 //!   the others apart, each counted by its live gateways.
 //! - Others are heard late. Own demand is compared as of the times at which theirs was heard, or
 //!   every gateway would take too much while demand grows everywhere.
+//! - Where a gateway gets few arrivals in the time that rates are measured over, its rate says little,
+//!   and more of the whole is divided evenly.
 //! - The mean of a sample varies, and its inverse is too large in the mean; the estimate is raised
 //!   by as much.
 
@@ -17,9 +19,11 @@
 
 use auburnline_core::time::Monotonic;
 
-/// Fraction of what is shared that is divided evenly, so that a gateway whose callers come back
+use crate::demand::RATE_TIME_CONSTANT;
+
+/// Least fraction of what is shared that is divided evenly, so that a gateway whose callers come back
 /// soon has something left for them.
-const EVEN_FRACTION: f64 = 0.1;
+const MIN_EVEN_FRACTION: f64 = 0.1;
 /// Age from which a report no longer counts: by then a sender that lives has sent six more.
 const MAX_AGE: Duration = Duration::from_secs(2);
 /// Reports that are kept, one of each sender: more than arrive within [`MAX_AGE`] in any fleet.
@@ -73,7 +77,10 @@
         if self.mean <= 0.0 {
             return 1.0;
         }
-        (1.0 - EVEN_FRACTION) * self.own / self.mean + EVEN_FRACTION
+        // One arrival in the time that rates are measured over says little of the next one.
+        let measured = self.mean * RATE_TIME_CONSTANT.as_secs_f64();
+        let even = (1.0 / (1.0 + measured)).max(MIN_EVEN_FRACTION);
+        (1.0 - even) * self.own / self.mean + even
     }
 }
 
--- a/crates/admission/tests/all/share.rs
+++ b/crates/admission/tests/all/share.rs
@@ -159,9 +159,9 @@
     let busy = count.div_ceil(10);
     move |gateway| {
         if gateway < busy {
-            real(count) / real(busy) / 2.0
+            10.0 * real(count) / real(busy) / 2.0
         } else {
-            real(count) / real(count - busy) / 2.0
+            10.0 * real(count) / real(count - busy) / 2.0
         }
     }
 }
@@ -173,7 +173,7 @@
         let mean = world.mean_sum(uneven(count), Faults::default());
         expect_that!(mean, near(1.0, 0.04), "{count} gateways");
         let busy = world.weight(0);
-        let wanted = uneven(count)(0);
+        let wanted = uneven(count)(0) / 10.0;
         expect_that!(busy, near(wanted, wanted * 0.45), "{count} gateways");
         expect_that!(world.weight(count - 1), lt(0.85), "{count} gateways");
     }
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -30,7 +30,7 @@
 /// while this gateway sends nothing for longer than [`MAX_REPORT_GAP`].
 const MAX_IDLE: f64 = 1.0;
 /// Time beyond which nothing more is carried over.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(2);
+const MAX_IDLE_TIME: Duration = Duration::from_secs(5);
 /// Arrivals of a gateway between two reports for which it carries over, as a multiple of the mean.
 const CARRIED_ARRIVALS: f64 = 2.0;
 
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a gateway's routing decisions.
 
 mod backoff;
+mod demand;
 mod departure;
 mod evacuation;
 mod event;
