--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -298,7 +298,6 @@
                 turnover: REPORT_INTERVAL.as_secs_f64() / prediction.stream(engine).as_secs_f64(),
                 gateways,
                 is_cautious: pace.is_cautious(),
-                demand: None,
                 reserve: Reserve::default(),
                 standing,
             };
@@ -336,11 +335,10 @@
         let Some(age) = headroom.traffic.report_age else {
             return;
         };
-        headroom.demand = expected.shares;
         let grant = Grant {
             headroom: headroom.sendable(),
             gateways: headroom.gateways,
-            demand: headroom.demand,
+            demand: expected.shares,
             reserve: headroom.reserve,
             carries_idle: self.features.contains(&Feature::DemandShares),
         };
--- a/crates/gateway/src/headroom.rs
+++ b/crates/gateway/src/headroom.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use auburnline_admission::reserve::Reserve;
-use auburnline_admission::share::Grounds;
 use auburnline_admission::standing::Standing;
 use auburnline_core::id::GroupId;
 
@@ -51,8 +50,6 @@
     pub(crate) prediction: Prediction,
     /// This gateway's share of the headroom, where the leader reports the load.
     pub(crate) allowance: Option<Allowance>,
-    /// Demand by which that share is set; without it, shares are equal.
-    pub(crate) demand: Option<Grounds>,
     /// What is withheld for requests that go first.
     pub(crate) reserve: Reserve,
     /// Standing of the request that is decided on.
@@ -123,8 +120,8 @@
             gateways: u32::try_from(self.gateways).unwrap_or(u32::MAX),
             is_cautious: self.is_cautious,
             told: self.traffic.report_age,
-            demand: self.demand,
-            withheld: self.reserve.withheld(self.standing),
+            withheld: u16::try_from(rounded(self.reserve.withheld(self.standing)))
+                .unwrap_or(u16::MAX),
             allowance: self
                 .allowance
                 .map(|allowance| allowance.requests(self.standing)),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use auburnline_admission::share;
 use auburnline_admission::standing::Standing;
 use auburnline_admission::standing::Urgency;
 use auburnline_core::error::Kind as ErrorKind;
@@ -87,11 +86,8 @@
     /// Age of the load that the group's leader reported; `None` if the counts of this gateway and
     /// its peers are used instead.
     pub told: Option<Duration>,
-    /// Demand of this gateway and the mean of all, by which its share is set; `None` if shares are
-    /// equal.
-    pub demand: Option<share::Grounds>,
-    /// Capacity withheld for requests that go first.
-    pub withheld: f64,
+    /// Requests for which capacity is withheld since they go first.
+    pub withheld: u16,
     /// Requests left of this gateway's share of the group's capacity; negative if it is overdrawn,
     /// `None` if the leader does not report the load.
     pub allowance: Option<f64>,
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -56,6 +56,8 @@
     let cold =
         throttled.map(|plan| in_millis(gateway.cold(&plan.service, MAX_LISTED_UPSTREAMS, now)));
     let prediction = basis.map(|basis| basis.prediction);
+    let demand = plan.filter(|_| basis.is_some());
+    let demand = demand.and_then(|plan| gateway.grounds(&plan.service, now));
     log::info!(
         target: "gateway",
         request = id,
@@ -71,8 +73,8 @@
         group_told_ms:? = basis.and_then(|basis| basis.told).map(millis),
         allowance:? = basis.and_then(|basis| basis.allowance),
         gateways:? = basis.map(|basis| basis.gateways),
-        demand:? = basis.and_then(|basis| basis.demand).map(|demand| demand.own),
-        mean_demand:? = basis.and_then(|basis| basis.demand).map(|demand| demand.mean),
+        demand:? = demand.map(|demand| demand.own),
+        mean_demand:? = demand.map(|demand| demand.mean),
         withheld:? = basis.map(|basis| basis.withheld),
         most:? = prediction.map(|prediction| prediction.most),
         pass_ms:? = prediction.map(|prediction| millis(prediction.pass)),
