--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`patience`]: how long a request may be held
 //! - [`queue`]: the order of requests that wait at one gateway
 //! - [`release`]: the rate at which they are served
+//! - [`reserve`]: what is withheld from requests that go last
+//! - [`share`]: a gateway's share by its part of the demand
 //! - [`standing`]: the order of two requests that want the same capacity
 //! - [`startup`]: which requests a gateway that starts holds
 //!
@@ -21,5 +23,7 @@
 pub mod patience;
 pub mod queue;
 pub mod release;
+pub mod reserve;
+pub mod share;
 pub mod standing;
 pub mod startup;
--- a/crates/gateway/src/assign.rs
+++ b/crates/gateway/src/assign.rs
@@ -117,8 +117,9 @@
             self.budget.deposit(now, &plan.service, &plan.service);
         }
         let group = self.group_of(&choice.upstream);
+        let standing = self.standing(plan, now);
         if let Some(allowance) = self.allowances.get_mut(&group) {
-            allowance.spend();
+            allowance.spend(standing);
         }
         group
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 
 use crate::allowance::Allowance;
 use crate::backoff::Backoffs;
+use crate::demand::Demand;
 use crate::freshness::Freshness;
 use crate::group::Groups;
 use crate::limit::Limits;
@@ -108,6 +109,8 @@
     pub(crate) queues: HashMap<ServiceId, Queue>,
     /// Ticket of the newest request.
     last_ticket: Ticket,
+    /// Demand here and at other gateways.
+    pub(crate) demand: Demand,
     /// Decisions that the settings enable.
     pub(crate) features: Features,
     /// Requests held until this gateway can serve.
@@ -181,6 +184,7 @@
             warm_ups: WarmUps::default(),
             transfer: Transfer::default(),
             receivers: Receivers::default(),
+            demand: Demand::default(),
             features: Features::new(),
             startup: Room::default(),
             deadlines: Deadlines::default(),
@@ -309,6 +313,9 @@
             0
         };
         self.last_ticket += 1;
+        if engine.is_some() && self.follows_demand() {
+            self.demand.record(&service, urgency, now);
+        }
         Ok(Plan {
             route: Arc::clone(route),
             urgency,
@@ -396,6 +403,9 @@
                 self.paces.insert(group, Group::formed(now));
             }
         }
+        if let Some(allowance) = self.allowances.get_mut(digest.group.as_str()) {
+            allowance.hear(is_changed, now);
+        }
         Update {
             is_changed,
             has_slowed,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -102,6 +102,8 @@
     /// Age of the load that the group's leader reported; `None` if the counts of this gateway and
     /// its peers are used instead.
     pub told: Option<Duration>,
+    /// Requests for which capacity is withheld since they go first.
+    pub withheld: u16,
     /// Requests left of this gateway's share of the group's capacity; negative if it is overdrawn,
     /// `None` if the leader does not report the load.
     pub allowance: Option<f64>,
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -20,7 +20,6 @@
 use crate::admission::CAPACITY_POLL_SECONDS;
 use crate::admission::LATE_POLL_SECONDS;
 use crate::admission::REOPENED_MAX_WAIT;
-use crate::allowance::Allowance;
 use crate::gateway::Gateway;
 use crate::headroom::Headroom;
 use crate::real;
@@ -242,7 +241,9 @@
 /// Returns whether a group's free capacity is enough for so many requests, so that one of them need
 /// not wait until those ahead of it ask again.
 fn serves_all(headroom: &Headroom, requests: usize) -> bool {
-    let allowance = headroom.allowance.map(Allowance::requests);
+    let allowance = headroom
+        .allowance
+        .map(|allowance| allowance.requests(headroom.standing));
     let free = headroom
         .sendable()
         .min(allowance.unwrap_or_else(|| headroom.capacity_left()));
