Entry: a repeatable request waits for a group that is only out of reach

If the session to the only other one was silent at that moment, the request was abandoned (no_upstream) with OutcomeUnknown after one run, though its deadline was seconds away.

An idempotent request of which nothing was read now waits for up to 3 s more, within its deadline, if a published group that could serve it exists and none has a session. Others are answered as before.

--- a/crates/entry/src/state/answer.rs
+++ b/crates/entry/src/state/answer.rs
@@ -29,6 +29,7 @@
 use crate::state::exchange::Phase;
 use crate::state::exchange::Running;
 use crate::state::resume::RESUME_WAIT;
+use crate::state::resume::UPSTREAM_WAIT;
 use crate::state::retry;
 use crate::state::retry::MAX_SENDS;
 
@@ -241,7 +242,10 @@
         match &exchange.phase {
             Phase::Running(running) => match running.cut {
                 Some(cut) if now >= cut.since + RESUME_WAIT => {
-                    self.lose(stream, Cause::SessionLost);
+                    let may_wait = !past && now < cut.since + RESUME_WAIT + UPSTREAM_WAIT;
+                    if !may_wait || !self.awaits_upstream(exchange, running) {
+                        self.lose(stream, Cause::SessionLost);
+                    }
                 }
                 _ if past => self.time_out(stream),
                 _ => {}
--- a/crates/entry/src/state/resume.rs
+++ b/crates/entry/src/state/resume.rs
@@ -10,6 +10,7 @@
 use auburnline_attempt::outcome::Unknown;
 use auburnline_core::answer::Failure;
 use auburnline_core::error::Kind;
+use auburnline_core::id::InstanceId;
 use auburnline_core::id::Offset;
 use auburnline_peer::wire::Attach;
 use auburnline_peer::wire::Found;
@@ -22,9 +23,14 @@
 use crate::state::exchange::Cut;
 use crate::state::exchange::Exchange;
 use crate::state::exchange::Phase;
+use crate::state::exchange::Running;
+use crate::state::retry::MAX_SENDS;
 
 /// Time for a lost session to come back before a request's fate is given up.
 pub(crate) const RESUME_WAIT: Duration = Duration::from_secs(3);
+/// Time after that for a session to any other group to come back, if a request can be sent there:
+/// some lost sessions and their return.
+pub(crate) const UPSTREAM_WAIT: Duration = Duration::from_secs(3);
 
 impl State {
     /// Notes that a request's session is gone.
@@ -155,6 +161,32 @@
         }
     }
 
+    /// Returns whether a request whose slot is lost can be sent to another group as soon as there is
+    /// a session to one.
+    pub(crate) fn awaits_upstream(&self, exchange: &Exchange, running: &Running) -> bool {
+        let untouched = running.cut.is_none_or(|cut| cut.offset == 0);
+        let repeatable = untouched && running.attempt.is_some() && exchange.request.idempotent;
+        let Some(checked) = self.configurations.in_force() else {
+            return false;
+        };
+        if !repeatable || exchange.sends >= MAX_SENDS {
+            return false;
+        }
+        let query = &exchange.query;
+        let published = checked.fleet().pools.get(&exchange.pool);
+        let groups = published.iter().flat_map(|pool| pool.groups.keys());
+        let others = groups.filter(|group| {
+            let model = checked.placement(group).map(|placement| &placement.model);
+            let serves = model == query.model.as_ref() && !checked.group_drains(group);
+            serves && !query.excluded.contains(group)
+        });
+        let mut slots = others
+            .filter_map(|group| checked.admitting(group))
+            .peekable();
+        let is_up = |slot: &InstanceId| self.fleet.links().to(slot).is_some();
+        slots.peek().is_some() && !slots.any(|slot| is_up(slot.instance))
+    }
+
     /// Gives up on a request whose slot is lost.
     pub(crate) fn lose(&mut self, stream: Stream, cause: Cause) {
         self.note(Note::Forget(stream));
--- a/tests/all/retries.rs
+++ b/tests/all/retries.rs
@@ -9,6 +9,7 @@
 use auburnline_harness::caller::Reply;
 use auburnline_harness::caller::Wish;
 use auburnline_harness::deployment::Deployment;
+use auburnline_harness::process::Signal;
 use auburnline_harness::shape::Shape;
 use auburnline_standin::engine::Fault;
 use googletest::prelude::*;
@@ -174,6 +175,11 @@
 
 /// Starts a draft at a silent upstream, kills its slot, and returns its key's reply.
 fn cut(wish: Wish, key: &str) -> (Reply, usize) {
+    cut_beside(wish, key, Duration::ZERO)
+}
+
+/// Does the same, and freezes the other slot for some time after that.
+fn cut_beside(wish: Wish, key: &str, frozen: Duration) -> (Reply, usize) {
     let mut deployment = deploy(shape(2));
     let silent = Fault {
         silent: true,
@@ -195,6 +201,19 @@
             deployment.upstream_fault(&other, &Fault::default());
         }
         deployment.kill(&slot);
+        if frozen > Duration::ZERO {
+            let others: Vec<_> = slots(&deployment)
+                .into_iter()
+                .filter(|it| *it != slot)
+                .collect();
+            for other in &others {
+                deployment.signal(other, Signal::Stop);
+            }
+            std::thread::sleep(frozen);
+            for other in &others {
+                deployment.signal(other, Signal::Continue);
+            }
+        }
         reply.join().expect("a reply")
     });
     if !matches!(reply, Reply::Whole(_)) {
@@ -211,6 +230,16 @@
     expect_that!(runs, eq(2));
 }
 
+/// Guards against an answer given up while the other group's session is away for a moment, as on a
+/// machine that is too busy to send heartbeats.
+#[gtest]
+fn an_idempotent_draft_whose_slot_is_killed_waits_for_another_group_to_be_reached() {
+    let wish = Wish::idempotent_draft("words", 20);
+    let (reply, runs) = cut_beside(wish, "june", Duration::from_millis(3_500));
+    expect_that!(reply, eq(&Reply::Whole(expected("june", "words", 20))));
+    expect_that!(runs, eq(2));
+}
+
 #[gtest]
 fn a_draft_that_is_not_idempotent_is_never_sent_again_after_its_slot_is_killed() {
     let (reply, runs) = cut(Wish::draft("words", 20), "once");
