Outliers: a member whose attempts all failed makes no other one slow

Cause: it counted with a mean latency of zero, so that the median of the means fell and healthy members were ejected as slow.

--- a/crates/retries/src/outlier.rs
+++ b/crates/retries/src/outlier.rs
@@ -85,8 +85,10 @@
         f64::from(self.failed) / f64::from(self.attempts.max(1))
     }
 
-    fn mean_seconds(&self) -> f64 {
-        self.success_seconds / f64::from((self.attempts - self.failed).max(1))
+    /// Returns the mean latency of the attempts that succeeded, if any did.
+    fn mean_seconds(&self) -> Option<f64> {
+        let succeeded = self.attempts - self.failed;
+        (succeeded > 0).then(|| self.success_seconds / f64::from(succeeded))
     }
 }
 
@@ -238,11 +240,12 @@
             .filter(|(_, member)| member.attempts >= settings.volume && !member.is_ejected(now))
             .collect();
         let median_rate = median(evaluated.iter().map(|(_, member)| member.failure_rate()));
-        let median_seconds = median(evaluated.iter().map(|(_, member)| member.mean_seconds()));
+        let means = evaluated.iter();
+        let median_seconds = median(means.filter_map(|(_, member)| member.mean_seconds()));
         let mut found = Vec::new();
         for (key, member) in evaluated {
             let rate = member.failure_rate();
-            let mean_seconds = member.mean_seconds();
+            let mean_seconds = member.mean_seconds().unwrap_or(0.0);
             if rate > median_rate + settings.failure_margin {
                 let reason = Reason::Failures(rate, median_rate);
                 found.push((key.clone(), 1.0 + rate, reason));
--- a/crates/retries/tests/retries.rs
+++ b/crates/retries/tests/retries.rs
@@ -208,6 +208,23 @@
     expect_that!(ejections[0].member, eq(2));
 }
 
+/// Guards against a healthy member that counts as slow because others have no latency at all.
+#[gtest]
+fn a_member_whose_attempts_all_failed_makes_no_other_one_slow() {
+    let members: Vec<u32> = (0..4).collect();
+    let settings = outlier::Settings {
+        failure_margin: 1.0,
+        ..outlier::Settings::default()
+    };
+    let mut outliers = Outliers::new(settings);
+    outliers.set_members(Duration::ZERO, &members);
+    for member in members.iter().cycle().take(80) {
+        let latency = (*member >= 2).then_some(Duration::from_millis(50));
+        outliers.record(member, latency);
+    }
+    expect_that!(outliers.tick(Duration::ZERO), is_empty());
+}
+
 #[gtest]
 fn a_hedge_comes_late_and_within_the_budget() {
     let witness = Idempotent::of(&request(true)).expect("idempotent work");
