Membership: the oldest leaving mark is dropped, and those that are gone make room first

Cause of the first: incarnations are random numbers, and of eight marks of one instance that of the smallest number was dropped, perhaps the newest, so that a leaving incarnation got new work. Marks are kept in the order in which they came.

--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -39,7 +39,8 @@
     pub(crate) reopen_at: Monotonic,
     incarnation: Option<Incarnation>,
     retired: VecDeque<Incarnation>,
-    leaving: BTreeMap<Incarnation, Cause>,
+    /// Leaving marks of incarnations, the oldest first.
+    leaving: Vec<(Incarnation, Cause)>,
     /// Version of the list that marked the instance.
     list_mark: Option<u64>,
     preset: Option<Cause>,
@@ -60,25 +61,30 @@
             return Some(Cause::List);
         }
         match self.incarnation {
-            Some(incarnation) => self.leaving.get(&incarnation).copied(),
+            Some(incarnation) => self.mark_of(incarnation),
             // The current incarnation is unknown, so any leaving mark is the newest information.
-            None => self.leaving.values().next().copied(),
+            None => self.leaving.last().map(|(_, cause)| *cause),
         }
     }
 
+    fn mark_of(&self, incarnation: Incarnation) -> Option<Cause> {
+        let mut marks = self.leaving.iter();
+        let mark = marks.find(|(known, _)| *known == incarnation);
+        mark.map(|(_, cause)| *cause)
+    }
+
     /// Marks an incarnation as leaving; returns whether the mark is new.
     pub(crate) fn mark(&mut self, incarnation: Incarnation, cause: Cause) -> bool {
-        if self.retired.contains(&incarnation) || self.leaving.contains_key(&incarnation) {
+        if self.retired.contains(&incarnation) || self.mark_of(incarnation).is_some() {
             return false;
         }
         if self.leaving.len() == MAX_INCARNATIONS {
             let current = self.incarnation;
-            let evicted = self.leaving.keys().find(|&&known| Some(known) != current);
-            if let Some(evicted) = evicted.copied() {
-                self.leaving.remove(&evicted);
-            }
+            let mut marks = self.leaving.iter();
+            let oldest = marks.position(|(known, _)| Some(*known) != current);
+            oldest.map(|oldest| self.leaving.remove(oldest));
         }
-        self.leaving.insert(incarnation, cause);
+        self.leaving.push((incarnation, cause));
         true
     }
 
@@ -159,7 +165,7 @@
     }
 
     fn retire(&mut self, incarnation: Incarnation) -> bool {
-        self.leaving.remove(&incarnation);
+        self.leaving.retain(|(known, _)| *known != incarnation);
         if self.retired.contains(&incarnation) {
             return false;
         }
@@ -213,9 +219,9 @@
 
     /// Returns the marks and replacements of this instance, to send to another entry.
     pub(crate) fn rumours(&self, instance: &InstanceId) -> Vec<Rumour> {
-        let leaving = self.leaving.keys().map(|&incarnation| Rumour::Leaving {
+        let leaving = self.leaving.iter().map(|(incarnation, _)| Rumour::Leaving {
             instance: instance.clone(),
-            incarnation,
+            incarnation: *incarnation,
         });
         let mut rumours: Vec<Rumour> = leaving.collect();
         rumours.extend(self.list_mark.map(|version| Rumour::Listed {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -225,13 +225,14 @@
             return;
         }
         self.revision = revision;
-        for instance in instances {
-            self.record(instance);
-        }
         let is_listed = |record: &Record| record.listed != Listed::Absent;
         self.records.retain(|name, record| {
             instances.contains(name) || record.session.is_some() || is_listed(record)
         });
+        // Those that are gone make room in a full view.
+        for instance in instances {
+            self.record(instance);
+        }
         let mut marked = Vec::new();
         let cause = Cause::Preset(revision);
         for (name, record) in &mut self.records {
--- a/crates/membership/tests/all/view.rs
+++ b/crates/membership/tests/all/view.rs
@@ -254,3 +254,49 @@
         expect_true!(runs.any(|found| is_caught(&found)), "{violation}");
     }
 }
+
+/// Guards against new work for an incarnation that leaves: its mark is dropped for those of others
+/// that were replaced long ago.
+#[gtest]
+fn of_many_leaving_marks_the_oldest_is_dropped() {
+    let mut view = View::new("entry-1".into(), SEED);
+    let instance = InstanceId::from("slot-1");
+    view.handle(
+        Event::Fleet {
+            revision: 1,
+            instances: BTreeSet::from([instance.clone()]),
+            drains: BTreeSet::new(),
+        },
+        Duration::ZERO,
+    );
+    // Incarnations are random numbers, so the newest mark may be of the smallest.
+    for incarnation in (1..=12).rev() {
+        view.handle(Event::Notice(instance.clone(), incarnation), Duration::ZERO);
+    }
+    view.handle(Event::SessionUp(instance.clone(), 2), Duration::ZERO);
+    expect_that!(view.may_get_work(&instance, Duration::ZERO), eq(false));
+    view.handle(Event::SessionUp(instance.clone(), 20), Duration::ZERO);
+    expect_that!(view.may_get_work(&instance, Duration::ZERO), eq(true));
+}
+
+/// Guards against instances that a full view never takes up, since it holds those of the
+/// configuration before.
+#[gtest]
+fn instances_that_are_gone_make_room_in_a_full_view() {
+    let mut view = View::new("entry-1".into(), SEED);
+    let names = |first: usize, last: usize| {
+        let names = (first..last).map(|number| InstanceId::from(format!("slot-{number}")));
+        names.collect::<BTreeSet<_>>()
+    };
+    for (revision, instances) in [(1, names(0, 4_096)), (2, names(10, 4_106))] {
+        let drains = BTreeSet::new();
+        let fleet = Event::Fleet {
+            revision,
+            instances,
+            drains,
+        };
+        view.handle(fleet, Duration::ZERO);
+    }
+    expect_that!(view.live(Duration::ZERO).count(), eq(4_096));
+    expect_that!(view.status("slot-4105", Duration::ZERO).is_live, eq(true));
+}
