Plain answers and max_in_flight: read as faults, and why they are none

A gateway test shows that a plain request is admitted without a look at capacity even on a full rank, so that the next send has nothing to wait for; with a pause objective it would wait (both in one test, passes).

--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -469,3 +469,25 @@
     let plan = ask(&mut gateway, "/desk/1", Some("key-1"), 1_000);
     expect_that!(plan.map(|plan| plan.service), ok(eq(&"desk".into())));
 }
+
+/// A further send of a plain answer isn't held back again: only a route with a pause objective is
+/// ever held back for capacity.
+#[gtest]
+fn a_plain_request_is_never_held_back_for_capacity() {
+    let mut gateway = gateway(1);
+    let mut plain = support::route("/plain/", "model", route::Kind::Safe);
+    let admit_full = |gateway: &mut Gateway, version, plain: &route::Route| {
+        let configuration = support::configuration(version, vec![plain.clone()]);
+        gateway.set_table(route::Table::new(configuration));
+        let plan = ask(gateway, "/plain/", Some("key-1"), 1_000).expect("a plan");
+        for _ in 0..50 {
+            gateway.pool.begin("rank-0");
+        }
+        gateway.admit(&plan, millis(1_000))
+    };
+    let admitted = admit_full(&mut gateway, 4, &plain);
+    expect_that!(admitted, eq(Admission::Admit(None)));
+    plain.longest_pause = Some(millis(120));
+    let admitted = admit_full(&mut gateway, 5, &plain);
+    expect_that!(admitted, matches_pattern!(Admission::Wait(anything())));
+}
