--- a/crates/lockstep/src/message.rs
+++ b/crates/lockstep/src/message.rs
@@ -83,6 +83,9 @@
     pub slowdown_percent: u16,
 }
 
+/// Approximate encoded size of one engine in a digest.
+pub const ENGINE_BYTES: usize = 11;
+
 /// Digest of a group's state, from its leader to gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
--- a/crates/lockstep/tests/all/traffic.rs
+++ b/crates/lockstep/tests/all/traffic.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use auburnline_lockstep::message::ENGINE_BYTES;
 use auburnline_lockstep::traffic::Link;
 use auburnline_lockstep::traffic::fan_out;
 use auburnline_lockstep::traffic::fan_out_parts;
@@ -10,18 +11,16 @@
 /// Time between two reports of counts, and between two digests to gateways.
 const COUNTS: Duration = Duration::from_millis(90);
 const DIGESTS: Duration = Duration::from_millis(190);
-/// Bytes of a digest for each engine.
-const ENGINE: usize = 9;
 
 /// In small groups on wide links, messages reach the leader and the gateways without a second hop.
 #[gtest]
 fn a_small_group_speaks_to_its_lead_directly() {
     let link = Link::of_mbps(20.0);
     assert_that!(link.aggregators(11, 3 * 96, COUNTS), eq(11));
-    assert_that!(link.direct_gateways(6, 12 * ENGINE, DIGESTS), eq(6));
+    assert_that!(link.direct_gateways(6, 12 * ENGINE_BYTES, DIGESTS), eq(6));
     let link = Link::of_mbps(8.0);
     assert_that!(link.aggregators(23, 16 * 96, COUNTS), eq(23));
-    assert_that!(link.direct_gateways(45, 24 * ENGINE, DIGESTS), eq(45));
+    assert_that!(link.direct_gateways(45, 24 * ENGINE_BYTES, DIGESTS), eq(45));
 }
 
 /// 63 ranks send 3,072 counts each within 90 ms towards a link of 6 Mbit/s, three times what it carries, and 98 or 340
@@ -38,8 +37,11 @@
     let bytes = 8 * 12 * 256;
     assert_that!(link.aggregators(63, 12 * 256, COUNTS), eq(8));
     assert_that!(f64::from(bytes), lt(each * 0.5));
-    assert_that!(link.direct_gateways(98, 64 * ENGINE, DIGESTS), eq(10));
-    assert_that!(link.direct_gateways(340, 64 * ENGINE, DIGESTS), eq(19));
+    assert_that!(link.direct_gateways(98, 64 * ENGINE_BYTES, DIGESTS), eq(10));
+    assert_that!(
+        link.direct_gateways(340, 64 * ENGINE_BYTES, DIGESTS),
+        eq(19)
+    );
 }
 
 #[gtest]
--- a/crates/sidecar/src/sidecar/leading.rs
+++ b/crates/sidecar/src/sidecar/leading.rs
@@ -11,6 +11,7 @@
 use auburnline_lockstep::coordinator::Service;
 use auburnline_lockstep::message::Command;
 use auburnline_lockstep::message::Digest;
+use auburnline_lockstep::message::ENGINE_BYTES;
 use auburnline_lockstep::message::Forward;
 use auburnline_lockstep::message::Forwarded;
 use auburnline_lockstep::message::Heartbeat;
@@ -31,9 +32,6 @@
 use crate::leader::Leader;
 use crate::order::send_order;
 
-/// Approximate encoded size of one engine in a digest.
-const ENGINE_BYTES: usize = 11;
-
 impl<E: Engine> Sidecar<E> {
     pub(super) async fn lead(&mut self, report: RankReport) {
         let now = self.clock.now();
