--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod departure;
 mod evacuation;
 mod event;
+mod event_bytes;
 mod fleet;
 mod freshness;
 mod gateway;
