--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod departure;
 mod evacuation;
 mod event;
+mod event_bytes;
 mod fleet;
 mod forecast;
 mod freshness;
