--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -85,6 +85,9 @@
             }
             Admission::Refuse(refusal) => {
                 place.is_decided = true;
+                if shared.gateway().withdraw(plan, now) {
+                    shared.wake_waiting(&plan.service);
+                }
                 if place.has_waited {
                     count("refused");
                     export(shared);
