A request that waited is sent only if its key still holds

Cause: a request is planned when it arrives, by a key that is checked then; it may now wait for 1.5 s and more, while the bound on revocation leaves 0.25 s between check and send. So a key could work past the bound. Gateway::recheck looks the key up again before the send of a request that waited (with and without the features: a request that waits for its group to form has waited that long before).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -55,7 +55,7 @@
 pub(crate) const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(800);
 /// Retry time when this gateway's configuration is missing or too old: the caller finds another
 /// gateway.
-const NOT_READY_RETRY: Duration = Duration::from_millis(100);
+pub(crate) const NOT_READY_RETRY: Duration = Duration::from_millis(100);
 
 /// Maximum number of gateways named to a sidecar. At eight bytes each, they fit into one datagram
 /// together with twice as many upstreams.
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -22,6 +22,7 @@
 use crate::admission::REOPENED_MAX_WAIT;
 use crate::allowance::Allowance;
 use crate::gateway::Gateway;
+use crate::gateway::NOT_READY_RETRY;
 use crate::headroom::Headroom;
 use crate::real;
 use crate::request::Admission;
@@ -83,6 +84,21 @@
         })
     }
 
+    /// Returns why a request that waited may no longer be served: its key may have been taken away
+    /// since it was planned, or this gateway no longer knows whether it was. `key` is the caller's.
+    #[must_use]
+    pub fn recheck(&self, plan: &Plan, key: Option<&str>, now: Monotonic) -> Option<Refusal> {
+        let workspace = plan.workspace.as_ref()?;
+        if !self.can_serve(now) {
+            let refusal = Refusal::new(ErrorKind::NotReady, "configuration may be outdated");
+            return Some(refusal.with_retry_after(NOT_READY_RETRY));
+        }
+        let table = self.table()?;
+        let holder = key.and_then(|key| table.workspace(key));
+        let is_same = holder.is_some_and(|holder| holder.name == workspace.name);
+        (!is_same).then(|| Refusal::new(ErrorKind::Unauthorized, "unknown key"))
+    }
+
     /// Removes a request whose caller left from the queue; returns whether it waited.
     pub fn withdraw(&mut self, plan: &Plan, now: Monotonic) -> bool {
         let queue = self.queues.get_mut(&plan.service);
--- a/crates/gateway/tests/all/waiting.rs
+++ b/crates/gateway/tests/all/waiting.rs
@@ -269,6 +269,30 @@
     expect_that!(&scene.admit(&urgent, 1_030), admitted());
 }
 
+/// Guards against a key that still works since its request waited while the key was taken away, or
+/// while this gateway could no longer learn of it.
+#[gtest]
+fn a_request_whose_key_was_taken_away_while_it_waited_is_not_sent() {
+    let mut scene = Scene::new(&[Feature::LateQueue]);
+    let plan = scene.plan(1_000);
+    let key = Some("key-1");
+    expect_that!(scene.gateway.recheck(&plan, key, millis(2_000)), none());
+    let outdated = scene.gateway.recheck(&plan, key, millis(6_500));
+    expect_that!(
+        outdated.map(|refusal| refusal.kind),
+        some(eq(ErrorKind::NotReady))
+    );
+    let stream = Kind::Stream { resumable: true };
+    let mut without = configuration(4, vec![route("/draft/", "model", stream)]);
+    without.workspaces.clear();
+    scene.gateway.set_table(Table::new(without));
+    let taken = scene.gateway.recheck(&plan, key, millis(2_000));
+    expect_that!(
+        taken.map(|refusal| refusal.kind),
+        some(eq(ErrorKind::Unauthorized))
+    );
+}
+
 #[gtest]
 fn upstreams_are_told_requests_in_time_first() {
     let mut scene = Scene::new(&[Feature::Urgency]);
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -9,6 +9,7 @@
 use metrics::histogram;
 use tokio::time::timeout;
 
+use crate::dialect::Call;
 use crate::shared::Shared;
 use crate::telemetry::millis;
 
@@ -38,7 +39,7 @@
 }
 
 /// Waits until the request is admitted.
-pub(crate) async fn wait(shared: &Shared, plan: &Plan, id: &str) -> Result<(), Refusal> {
+pub(crate) async fn wait(shared: &Shared, plan: &Plan, call: &Call) -> Result<(), Refusal> {
     let started = shared.now();
     let mut place = Place {
         shared,
@@ -49,7 +50,7 @@
     loop {
         let now = shared.now();
         let capacity_freed = shared.capacity_freed(&plan.service);
-        let admission = shared.gateway().admit(plan, now);
+        let admission = admit(shared, plan, call, now, place.has_waited);
         match admission {
             Admission::Admit(basis) => {
                 place.is_decided = true;
@@ -58,7 +59,7 @@
                 let standing = shared.gateway().standing(plan, now);
                 log::debug!(
                     target: "gateway",
-                    request = id,
+                    request = call.id.as_str(),
                     waited_ms = millis(waited),
                     urgency = standing.urgency,
                     late = standing.is_late,
@@ -102,6 +103,17 @@
     }
 }
 
+/// Decides on a request; one that waited is sent only if its key still holds.
+fn admit(shared: &Shared, plan: &Plan, call: &Call, now: Monotonic, has_waited: bool) -> Admission {
+    let mut gateway = shared.gateway();
+    let admission = gateway.admit(plan, now);
+    if !has_waited || !matches!(admission, Admission::Admit(_)) {
+        return admission;
+    }
+    let refusal = gateway.recheck(plan, call.key.as_deref(), now);
+    refusal.map_or(admission, Admission::Refuse)
+}
+
 /// Returns whether a refusal came at once or after a wait.
 fn stage(now: Monotonic, started: Monotonic) -> &'static str {
     if now == started { "arrival" } else { "wait" }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -301,7 +301,7 @@
 
     /// Waits until the request is admitted, for its first attempt or for another one.
     pub(crate) async fn wait_for_admission(&self) -> Result<(), Refusal> {
-        admission::wait(&self.shared, &self.plan, &self.arrival.call.id).await
+        admission::wait(&self.shared, &self.plan, &self.arrival.call).await
     }
 
     /// Returns whether a request that may have been executed may be sent again, and takes a retry from the budget if so.
