--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -58,7 +58,7 @@
 pub(crate) const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(800);
 /// Retry time when this gateway's configuration is missing or too old: the caller finds another
 /// gateway.
-const NOT_READY_RETRY: Duration = Duration::from_millis(100);
+pub(crate) const NOT_READY_RETRY: Duration = Duration::from_millis(100);
 /// Reason of a refusal while a key may have been taken away without this gateway's knowledge.
 const OUTDATED: &str = "configuration may be outdated";
 
