--- a/crates/admission/tests/all/share.rs
+++ b/crates/admission/tests/all/share.rs
@@ -184,7 +184,13 @@
 #[gtest]
 fn shares_stay_the_whole_where_one_domain_is_busy() {
     for count in FLEETS {
-        let demand = |gateway: usize| if gateway.is_multiple_of(DOMAINS) { 6.0 } else { 0.5 };
+        let demand = |gateway: usize| {
+            if gateway.is_multiple_of(DOMAINS) {
+                6.0
+            } else {
+                0.5
+            }
+        };
         let mut world = World::new(count);
         let mean = world.mean_sum(demand, Faults::default());
         expect_that!(mean, near(1.0, 0.04), "{count} gateways");
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -29,8 +29,9 @@
 /// Upper bound of an allowance in requests, unless a single share is larger, that is carried over
 /// while this gateway sends nothing for longer than [`MAX_REPORT_GAP`].
 const MAX_IDLE: f64 = 1.0;
-/// Time beyond which nothing more is carried over.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(5);
+/// Time beyond which nothing more is carried over: five reports, so that gateways without requests
+/// together keep no more than five times what a group had room for.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
 /// Arrivals of a gateway between two reports for which it carries over, as a multiple of the mean.
 const CARRIED_ARRIVALS: f64 = 2.0;
 
