--- a/crates/gateway/tests/all/demand.rs
+++ b/crates/gateway/tests/all/demand.rs
@@ -41,7 +41,7 @@
 const REPORT_STEPS: u64 = 10;
 const HEARTBEAT_STEPS: u64 = 15;
 /// Time from which results count: gateways have measured demand by then.
-const SETTLED: u64 = 5_000;
+const SETTLED: u64 = 6_000;
 /// Ranks of the group, and receivers of a heartbeat.
 const RANKS: u16 = 64;
 const FANOUT: usize = 6;
@@ -293,7 +293,7 @@
 #[gtest]
 fn half_of_all_callers_at_a_tenth_of_the_gateways_get_the_room_that_is_there() {
     for count in FLEETS {
-        let run = |features: &[Feature]| World::start(count, features).run(10_000, uneven(count));
+        let run = |features: &[Feature]| World::start(count, features).run(12_000, uneven(count));
         let equal = run(&[]);
         let following = run(&[Feature::DemandShares]);
         println!("{count}: {equal:?} {following:?}");
