--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -44,6 +44,9 @@
 /// Part of what a group can carry from which its passes tell how far to fill it. With fewer
 /// requests a prompt that is read takes most of a pass.
 const LOADED_FRACTION: f64 = 0.5;
+/// Time after a group formed for which it is filled by its newest passes alone: it gets a map for
+/// its demand, and the streams that began on the first map end.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
 /// Fewest requests per rank, so that a wrong factor never closes a group.
 const MIN_PER_RANK: f64 = 1.0;
 
@@ -239,9 +242,16 @@
     /// Drops what was told too long ago.
     pub fn refresh(&mut self, now: Monotonic) {
         let fill = self.told_fill.value(now);
+        let fill = fill.filter(|_| !self.is_settling(now));
         self.fill = fill.map(|fill| fill.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1));
     }
 
+    /// Returns whether the group formed so recently that its passes say nothing about shifts.
+    fn is_settling(&self, now: Monotonic) -> bool {
+        self.formed_at
+            .is_some_and(|formed_at| now.saturating_sub(formed_at) < SETTLING_TIME)
+    }
+
     fn expose(
         &mut self,
         factor: f64,
@@ -252,7 +262,8 @@
     ) {
         let cost = cost(engine, longest, load);
         let requests = f64::from(load.in_flight);
-        if requests < cost.most(self.factor.max(self.recent)) * LOADED_FRACTION {
+        let is_loaded = requests >= cost.most(self.factor.max(self.recent)) * LOADED_FRACTION;
+        if !is_loaded || self.is_settling(at) {
             return;
         }
         let pass = cost.pass(self.factor, requests).min(cost.longest);
--- a/crates/gateway/tests/all/forecast.rs
+++ b/crates/gateway/tests/all/forecast.rs
@@ -352,3 +352,17 @@
     assert_that!(merged, eq(Merged::default()));
     assert_that!(fill(gateway.pace("g0").expect("a pace")), eq(before));
 }
+
+/// All callers are back after a loss of power. The first map of a group knows no demand, and a group
+/// that is filled for its passes refuses callers for seconds after it has a better one.
+#[gtest]
+fn a_group_that_just_formed_is_not_filled_for_a_shift() {
+    let load = group_load(STREAMS);
+    let mut group = Group::formed(millis(5_000));
+    let told = |group: &mut Group, now| {
+        group.hear(&record(2.0, 5.0, 0), &ENGINE, LONGEST, load, millis(now));
+        group.predict(&ENGINE, LONGEST, load).fill
+    };
+    assert_that!(told(&mut group, 8_900), eq(0.0));
+    assert_that!(told(&mut group, 9_100), gt(2.0));
+}
