--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 
 use crate::allowance::Allowance;
 use crate::backoff::Backoffs;
+pub use crate::bounds::Bounds;
 use crate::demand::Demand;
 use crate::freshness::Freshness;
 use crate::group::Groups;
@@ -66,23 +67,6 @@
 /// together with twice as many upstreams.
 const MAX_GATEWAYS: usize = 2_048;
 
-/// Bounds set by the platform's operators.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Bounds {
-    /// Maximum time for which a revoked key may still be accepted.
-    pub revocation: Duration,
-    /// Retries allowed per request, over the whole fleet.
-    pub retry_ratio: f64,
-    /// Retries allowed beyond `retry_ratio` in a window, over the whole fleet.
-    pub retry_slack: f64,
-    /// Window of `retry_slack`.
-    pub retry_window: Duration,
-    /// Time for which the ranks of a group stall before they give up a lost rank.
-    pub stall: Duration,
-    /// Time within which an upstream renews its entry in the store.
-    pub heartbeat: Duration,
-}
-
 /// What a group leader's digest changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Update {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`limit`]: the rate limits that upstreams announce
 //! - `startup`: which requests wait until a gateway that starts can serve
 //! - `comeback`: when refused callers are to return, and which ones have
+//! - `bounds`: what operators bound
 //! - `backoff`: which upstreams have asked for backoff
 //! - `warm_up`: how often cold upstreams may be used
 //! - [`freshness`]: how old the known state may be
@@ -40,6 +41,7 @@
 mod allowance;
 mod assign;
 mod backoff;
+mod bounds;
 mod caution;
 pub mod choice;
 mod comeback;
