A crash names the shared parts of the prompt and how far the answer was

The logs of the incident tell that every crash was noticed under a fingerprint of its own. They can't tell whether the requests had a part of their prompts in common, since no line says what is in a prompt. The adapter decodes the prompt's shared parts once, and `upstream crashed` has them, with the events that the caller had received. Nothing acts on them.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`report`]: the load that group leaders report
 //! - [`neighbour`]: which other gateways are alive
 //! - [`message`]: the messages between gateways
+//! - [`prompt`]: which parts of prompts requests share
 //! - [`quarantine`]: which requests crash the upstreams that run them
 //! - [`limit`]: the rate limits that upstreams announce
 //! - `startup`: which requests wait until a gateway that starts can serve
@@ -60,6 +61,7 @@
 mod moving;
 pub mod neighbour;
 pub mod pace;
+pub mod prompt;
 pub mod published;
 pub mod quarantine;
 pub mod report;
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -31,7 +31,7 @@
                 let Ok(Ok(body)) = body else {
                     flight.failed();
                     exchange.log_failure("response body truncated or timed out", &flight);
-                    exchange.detect_crash(&flight).await;
+                    exchange.detect_crash(&flight, 0).await;
                     if !exchange.may_rerun() {
                         return exchange.give_up("response body truncated or timed out");
                     }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -9,6 +9,7 @@
 
 use auburnline_core::error::Kind;
 use auburnline_gateway::message::Datagram;
+use auburnline_gateway::prompt::Part;
 use auburnline_gateway::quarantine::Fingerprint;
 use auburnline_gateway::quarantine::Mark;
 use auburnline_gateway::quarantine::fingerprint;
@@ -52,8 +53,9 @@
         Some(refusal.with_retry_after(held))
     }
 
-    /// Checks after a lost response whether the upstream has crashed, and if so records that this request was running there.
-    pub(crate) async fn detect_crash(&self, flight: &Flight) {
+    /// Checks after a lost response whether the upstream has crashed, and if so records that this request was running there and
+    /// had received `events`.
+    pub(crate) async fn detect_crash(&self, flight: &Flight, events: u64) {
         let upstream = flight.target();
         if !refuses_connections(upstream.address).await {
             return;
@@ -69,6 +71,8 @@
             target: "crashes",
             request = self.id(),
             fingerprint = request,
+            parts:? = hex(&self.arrival.call.parts),
+            events,
             upstream = &*upstream.id,
             is_held;
             "upstream crashed"
@@ -89,6 +93,11 @@
     }
 }
 
+/// Formats the ids of a prompt's parts for the log.
+fn hex(parts: &[Part]) -> Vec<String> {
+    parts.iter().map(|part| format!("{part:08x}")).collect()
+}
+
 /// Returns whether connections to an address are refused.
 async fn refuses_connections(address: SocketAddr) -> bool {
     let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -10,6 +10,7 @@
 use auburnline_admission::standing::Urgency;
 use auburnline_core::error::Kind;
 use auburnline_gateway::event::EventId;
+use auburnline_gateway::prompt::Part;
 use auburnline_quota::Rate;
 use bytes::Bytes;
 use http::HeaderMap;
@@ -28,6 +29,9 @@
     pub timeout: Option<Duration>,
     /// Last event that the caller has received, if it resumes a stream.
     pub after: Option<EventId>,
+    /// Parts of the prompt that other requests may share, from the most shared one on; at most
+    /// [`MAX_PARTS`](auburnline_gateway::prompt::MAX_PARTS).
+    pub parts: Vec<Part>,
 }
 
 /// Values for the head of a request to an upstream.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -297,7 +297,7 @@
         } else {
             self.sends += 1;
             self.may_have_run = true;
-            self.detect_crash(flight).await;
+            self.detect_crash(flight, 0).await;
             self.may_rerun()
         };
         Sent::Failed { may_retry }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -119,7 +119,8 @@
                 Next::Break(cause) => {
                     self.flight.failed();
                     self.exchange.log_failure(cause, &self.flight);
-                    self.exchange.detect_crash(&self.flight).await;
+                    let events = self.timing.events;
+                    self.exchange.detect_crash(&self.flight, events).await;
                     self.record_interruption();
                     if !self.resume().await {
                         self.is_over = true;
