An answer that ends with its connection is passed on whole

Callers saw 502, or streams that were broken off, in place of whole answers: an upstream may send an answer with neither a length nor chunks and end it with its connection, and the gateway took each of them for lost.

The HTTP client accepts the end of the connection where its user says so; a reset still loses the body, and the clients of the product's own interface accept nothing new. What can be told from a whole answer is told: a stream that ends within an event is broken off, and resumed where its route allows that; an upstream that refuses connections right after the end has crashed, so its answer is lost and clears nobody. A plain answer that is cut short by a live upstream without a reset can't be told from a whole one.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -21,6 +21,8 @@
     whole: Duration,
     /// Whether the end of the body can be told from a lost connection.
     delimited: bool,
+    /// Whether the end of the connection is accepted as the end of the body.
+    accepts_close: bool,
 }
 
 impl Body {
@@ -30,9 +32,24 @@
             silence: timeouts.silence,
             whole: timeouts.whole,
             delimited,
+            accepts_close: false,
         }
     }
 
+    /// Accepts the end of the connection as the end of a body with neither a length nor chunks. A connection that is reset
+    /// loses such a body all the same.
+    #[must_use]
+    pub const fn ended_by_connection(mut self) -> Self {
+        self.accepts_close = true;
+        self
+    }
+
+    /// Returns whether a length or chunks mark the end of the body.
+    #[must_use]
+    pub const fn is_delimited(&self) -> bool {
+        self.delimited
+    }
+
     /// Returns the next part, or `None` at the end.
     ///
     /// # Errors
@@ -65,7 +82,7 @@
             Report::new(Failure::Lost)
                 .attach("the body ended with neither content-length nor transfer-encoding")
         };
-        (!self.delimited).then(|| Err(lost()))
+        (!self.delimited && !self.accepts_close).then(|| Err(lost()))
     }
 
     /// Reads the complete body.
--- a/crates/http/tests/exchange.rs
+++ b/crates/http/tests/exchange.rs
@@ -112,6 +112,30 @@
     }
 }
 
+/// Guards against taking a whole answer for lost where its upstream marks the end by closing the connection only.
+#[gtest]
+fn the_end_of_the_connection_ends_a_body_only_where_that_is_accepted() {
+    let outcome = |then| {
+        let script = Script::new("HTTP/1.1 200 OK\r\n\r\nok", then);
+        let upstream = Scripted::start(vec![script]).expect("an upstream");
+        let client = client(upstream.address(), SHORT_TIMEOUT);
+        let request = Request::builder()
+            .uri(client.uri("/path").expect("a path"))
+            .body(Bytes::new().into())
+            .expect("a request");
+        run(async {
+            let reply = client.send(request, Connection::Fresh).await?;
+            let body = reply.body.ended_by_connection();
+            assert_that!(body.is_delimited(), eq(false));
+            body.whole(MAX_BODY_BYTES).await
+        })
+        .map_err(|report: Report<Failure>| *report.current_context())
+    };
+    expect_that!(outcome(Then::Close), ok(eq(&Bytes::from("ok"))));
+    expect_that!(outcome(Then::Reset), err(eq(&Failure::Lost)));
+    expect_that!(outcome(Then::Hold), err(eq(&Failure::Lost)));
+}
+
 #[gtest]
 fn an_answer_without_a_body_needs_no_marked_end() {
     let empty = "HTTP/1.1 204 No Content\r\n\r\n";
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -28,8 +28,12 @@
         let attempt_timeout = attempt_timeout(&exchange);
         match exchange.send(None, attempt_timeout).await {
             Sent::Began(reply, mut flight) => {
+                let is_delimited = reply.body.is_delimited();
                 let body = timeout(attempt_timeout, reply.body.whole(MAX_ANSWER_BYTES)).await;
-                let Ok(Ok(body)) = body else {
+                let body = body.ok().and_then(Result::ok);
+                // An upstream that crashes closes its connections too.
+                let is_whole = is_delimited || !flight.has_crashed().await;
+                let Some(body) = body.filter(|_| is_whole) else {
                     flight.failed();
                     exchange.log_failure("response body truncated or timed out", &flight);
                     exchange.detect_crash(&flight, Stage::Beginning).await;
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -108,10 +108,10 @@
     /// Checks after a lost response whether the upstream has crashed, and if so records that this request was running there,
     /// and how far its answer was.
     pub(crate) async fn detect_crash(&self, flight: &Flight, stage: Stage) {
-        let upstream = flight.target();
-        if !refuses_connections(upstream.address).await {
+        if !flight.has_crashed().await {
             return;
         }
+        let upstream = flight.target();
         let now = self.shared.now();
         let start = start_tag(upstream);
         let request = self.fingerprint();
@@ -166,6 +166,13 @@
     }
 }
 
+impl Flight {
+    /// Returns whether the upstream refuses connections right after it closed one.
+    pub(crate) async fn has_crashed(&self) -> bool {
+        refuses_connections(self.target().address).await
+    }
+}
+
 /// Formats the ids of a prompt's parts for the log.
 fn hex(parts: &[Part]) -> Vec<String> {
     parts.iter().map(|part| format!("{part:08x}")).collect()
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -269,8 +269,9 @@
         Ok(request)
     }
 
-    async fn began(&mut self, reply: Reply, mut flight: Flight) -> Sent {
+    async fn began(&mut self, mut reply: Reply, mut flight: Flight) -> Sent {
         self.record_condition(&reply, &flight);
+        reply.body = reply.body.ended_by_connection();
         let dialect = &self.shared.dialect;
         match dialect.classify(reply.status, &reply.headers, self.id()) {
             Classification::Answer => {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -160,7 +160,7 @@
             let part = match part {
                 Ok(Some(Ok(part))) => part,
                 Ok(Some(Err(_))) => return Next::Break("stream interrupted before its end"),
-                Ok(None) => return Next::End,
+                Ok(None) => return self.ended().await,
                 Err(_) => return Next::Break("request deadline exceeded"),
             };
             let events = self.splitter.push(&part);
@@ -175,6 +175,21 @@
         }
     }
 
+    /// Returns whether a response whose connection has ended is complete. Without a length or chunks, the end of an upstream
+    /// that crashed looks the same.
+    async fn ended(&self) -> Next {
+        let is_delimited = self.body.as_ref().is_some_and(Incoming::is_delimited);
+        if is_delimited {
+            Next::End
+        } else if self.splitter.has_partial_event() {
+            Next::Break("stream ended within an event")
+        } else if self.flight.has_crashed().await {
+            Next::Break("upstream crashed at the end of its stream")
+        } else {
+            Next::End
+        }
+    }
+
     /// Counts events of the latest attempt, which show at some point that the upstream bears the request.
     fn record_events(&mut self, count: u64) {
         let before = Stage::after(self.run_events);
