Verdict on parts: sets are compared by crash and prompt, and a refusal tells a time at which returning can help

Two crashes within a millisecond could come in a different order in the records of two parts, so that parts of one prompt counted as parts of different ones. A refusal while a part is being tried again told its caller to come back at once. The log names the set of parts that is quarantined, not each part.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -237,14 +237,14 @@
     }
 
     /// Records that an upstream crashed while it was running a request with these shared parts, and how far its answer was;
-    /// returns the parts that this puts into quarantine.
+    /// returns the sets of parts that this puts into quarantine.
     pub fn crashed_with(
         &mut self,
         parts: &[Part],
         upstream: StartTag,
         stage: Stage,
         now: Monotonic,
-    ) -> Vec<Part> {
+    ) -> Vec<Vec<Part>> {
         self.has_news |= self.parts.crashed(parts, upstream, stage, now);
         self.judge()
     }
@@ -255,8 +255,8 @@
         self.judge();
     }
 
-    /// Merges the marks on parts of another gateway; returns the parts that these put into quarantine.
-    pub fn merge_parts(&mut self, marks: &[part::Mark], now: Monotonic) -> Vec<Part> {
+    /// Merges the marks on parts of another gateway; returns the sets of parts that these put into quarantine.
+    pub fn merge_parts(&mut self, marks: &[part::Mark], now: Monotonic) -> Vec<Vec<Part>> {
         self.has_news |= self.parts.merge(marks, now);
         self.judge()
     }
@@ -274,8 +274,8 @@
         self.parts.holds().iter().map(|hold| hold.parts.len()).sum()
     }
 
-    /// Reaches the verdict on parts anew after news; returns those that are held from now on.
-    fn judge(&mut self) -> Vec<Part> {
+    /// Reaches the verdict on parts anew after news; returns the sets that are held from now on.
+    fn judge(&mut self) -> Vec<Vec<Part>> {
         if !std::mem::take(&mut self.has_news) || self.parts.is_empty() {
             return Vec::new();
         }
--- a/crates/gateway/src/quarantine/evidence.rs
+++ b/crates/gateway/src/quarantine/evidence.rs
@@ -153,7 +153,7 @@
         HOLD_TIME * (1 << further)
     }
 
-    /// Returns whether there is still a reason to keep the record. A part can be tried for as long as it was held before.
+    /// Returns whether there is still a reason to keep the record. A held part stays long enough to be tried again.
     pub(super) fn is_current(&self, now: Timestamp) -> bool {
         let last = self.last_crash().max(self.answered).max(self.survived);
         let time = RETENTION.max(2 * self.hold_time());
--- a/crates/gateway/src/quarantine/part.rs
+++ b/crates/gateway/src/quarantine/part.rs
@@ -134,7 +134,7 @@
     pub parts: Vec<Part>,
     /// Crashes that they explain.
     pub crashes: Vec<Ground>,
-    /// Time until a request with these parts is tried again; zero from then on.
+    /// Time until a request with these parts may be tried again.
     pub left: Duration,
 }
 
@@ -234,16 +234,16 @@
         self.records.len() < before
     }
 
-    /// Reaches the verdict anew; returns the parts that are held from now on.
+    /// Reaches the verdict anew; returns the sets of parts that are held from now on.
     pub(super) fn judge(
         &mut self,
         is_one_request: impl Fn(&BTreeSet<StartTag>) -> bool,
-    ) -> Vec<Part> {
+    ) -> Vec<Vec<Part>> {
         let holds = verdict::judge(&self.records, is_one_request);
         let before = std::mem::replace(&mut self.holds, holds);
-        let was_held = |part: &Part| before.iter().any(|hold| hold.parts.contains(part));
-        let held = self.holds.iter().flat_map(|hold| hold.parts.iter());
-        held.filter(|part| !was_held(part)).copied().collect()
+        let was_held = |parts: &Vec<Part>| before.iter().any(|hold| hold.parts == *parts);
+        let held = self.holds.iter().map(|hold| &hold.parts);
+        held.filter(|parts| !was_held(parts)).cloned().collect()
     }
 
     /// Returns why a request with these parts is held; `None` if it is not.
@@ -265,7 +265,10 @@
         Some(Grounds {
             parts: hold.parts.clone(),
             crashes: crashes.collect(),
-            left: record.hold_time().saturating_sub(silent),
+            left: record
+                .hold_time()
+                .saturating_sub(silent)
+                .max(TRIAL_INTERVAL),
         })
     }
 
--- a/crates/gateway/src/quarantine/verdict.rs
+++ b/crates/gateway/src/quarantine/verdict.rs
@@ -34,12 +34,34 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
     weight: Weight,
-    crashes: BTreeSet<StartTag>,
-    /// One prompt at each crash.
-    prompts: Vec<PromptHash>,
+    /// Crashes that no other part explains, with one prompt at each.
+    crashes: BTreeMap<StartTag, PromptHash>,
     part: Part,
 }
 
+impl Candidate {
+    /// Returns what speaks for holding a part; `None` if that does not suffice.
+    fn new(part: Part, record: &Record, explained: &BTreeSet<StartTag>) -> Option<Candidate> {
+        let is_explained = |crash: &Crash| explained.contains(&crash.upstream);
+        let weight = record.weight(is_explained)?;
+        let left = record.crashes.iter().filter(|crash| !is_explained(crash));
+        Some(Candidate {
+            weight,
+            crashes: left.map(|crash| (crash.upstream, crash.prompt)).collect(),
+            part,
+        })
+    }
+
+    fn upstreams(&self) -> BTreeSet<StartTag> {
+        self.crashes.keys().copied().collect()
+    }
+
+    /// Returns whether the same crashes speak as strongly for another part.
+    fn is_rival(&self, other: &Candidate) -> bool {
+        self.weight == other.weight && self.crashes.keys().eq(other.crashes.keys())
+    }
+}
+
 /// Returns what is held. `is_one_request` tells whether all of these crashes happened under one and the same request, which is
 /// then held itself.
 pub(super) fn judge(
@@ -49,22 +71,19 @@
     let mut explained = BTreeSet::new();
     let mut holds: Vec<Hold> = Vec::new();
     loop {
-        let candidates = records.iter().filter_map(|(part, record)| {
-            let candidate = candidate(*part, record, &explained)?;
-            (!is_one_request(&candidate.crashes)).then_some(candidate)
-        });
+        let candidates = records
+            .iter()
+            .filter_map(|(part, record)| Candidate::new(*part, record, &explained))
+            .filter(|candidate| !is_one_request(&candidate.upstreams()));
         let candidates: Vec<_> = candidates.collect();
         let Some(strongest) = candidates.iter().max() else {
             return holds;
         };
-        let crashes = strongest.crashes.clone();
-        let rivals = candidates
-            .iter()
-            .filter(|other| (other.weight, &other.crashes) == (strongest.weight, &crashes));
-        let mut groups: BTreeMap<&[PromptHash], Vec<Part>> = BTreeMap::new();
-        for rival in rivals {
-            groups.entry(&rival.prompts).or_default().push(rival.part);
+        let mut groups: BTreeMap<_, Vec<Part>> = BTreeMap::new();
+        for rival in candidates.iter().filter(|other| strongest.is_rival(other)) {
+            groups.entry(&rival.crashes).or_default().push(rival.part);
         }
+        let crashes = strongest.upstreams();
         let is_ambiguous = groups.len() > 1;
         holds.extend(groups.into_values().map(|parts| Hold {
             parts,
@@ -74,16 +93,3 @@
         explained.extend(crashes);
     }
 }
-
-/// Returns what speaks for holding a part by its crashes that are not explained; `None` if that does not suffice.
-fn candidate(part: Part, record: &Record, explained: &BTreeSet<StartTag>) -> Option<Candidate> {
-    let is_explained = |crash: &Crash| explained.contains(&crash.upstream);
-    let weight = record.weight(is_explained)?;
-    let left = record.crashes.iter().filter(|crash| !is_explained(crash));
-    Some(Candidate {
-        weight,
-        crashes: left.clone().map(|crash| crash.upstream).collect(),
-        prompts: left.map(|crash| crash.prompt).collect(),
-        part,
-    })
-}
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -225,17 +225,12 @@
     log_newly_held(shared, &held);
 }
 
-fn log_newly_held(shared: &Shared, held: &[Part]) {
+fn log_newly_held(shared: &Shared, held: &[Vec<Part>]) {
     let now = shared.now();
-    for part in held {
-        let grounds = shared.gateway().quarantine.held_with(&[*part], now);
-        let grounds = grounds.map(|grounds| describe(&grounds));
-        log::info!(
-            target: "crashes",
-            part = format!("{part:08x}").as_str(),
-            grounds:?;
-            "part quarantined"
-        );
+    for parts in held {
+        let grounds = shared.gateway().quarantine.held_with(parts, now);
+        let crashes = grounds.map(|grounds| describe(&grounds));
+        log::info!(target: "crashes", parts:? = hex(parts), crashes:?; "parts quarantined");
     }
 }
 
