Holds end with the last record of a part

Once the records of all parts had expired, no new verdict was reached, so the list of holds and its gauge stayed as they were; no request was held any more. The verdict is reached after any news now, and the test of forgotten parts asks for the count. Functions on parts are named after them.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -222,7 +222,7 @@
 
     /// Returns why a request with these shared parts is held; `None` if it is not.
     #[must_use]
-    pub fn held_with(&self, parts: &[Part], now: Monotonic) -> Option<Grounds> {
+    pub fn parts_held(&self, parts: &[Part], now: Monotonic) -> Option<Grounds> {
         self.parts.held(parts, now)
     }
 
@@ -239,7 +239,7 @@
 
     /// Records that an upstream crashed while it was running a request with these shared parts, and how far its answer was;
     /// returns the sets of parts that this puts into quarantine.
-    pub fn crashed_with(
+    pub fn parts_crashed(
         &mut self,
         parts: &[Part],
         upstream: StartTag,
@@ -251,7 +251,7 @@
     }
 
     /// Records that these parts are sound.
-    pub fn sound_with(&mut self, parts: &[Part], proof: Proof, now: Monotonic) {
+    pub fn parts_sound(&mut self, parts: &[Part], proof: Proof, now: Monotonic) {
         self.has_news |= self.parts.is_sound(parts, proof, now);
         self.judge();
     }
@@ -277,7 +277,7 @@
 
     /// Reaches the verdict on parts anew after news; returns the sets that are held from now on.
     fn judge(&mut self) -> Vec<Vec<Part>> {
-        if !std::mem::take(&mut self.has_news) || self.parts.is_empty() {
+        if !std::mem::take(&mut self.has_news) {
             return Vec::new();
         }
         let records = &self.records;
--- a/crates/gateway/tests/all/crash_loop/world.rs
+++ b/crates/gateway/tests/all/crash_loop/world.rs
@@ -310,7 +310,7 @@
                 let mut held = parts.map(|part| quarantine.held_for(*part, self.now));
                 held.any(|held| held.is_some())
             }
-            Way::Judged => quarantine.held_with(&request.parts, self.now).is_some(),
+            Way::Judged => quarantine.parts_held(&request.parts, self.now).is_some(),
         }
     }
 
@@ -414,7 +414,7 @@
                         }
                     }
                     Way::Judged => {
-                        quarantine.crashed_with(&run.request.parts, upstream, stage, self.now);
+                        quarantine.parts_crashed(&run.request.parts, upstream, stage, self.now);
                     }
                 }
             }
@@ -487,6 +487,6 @@
             }
         }
         Way::Counted => {}
-        Way::Judged => quarantine.sound_with(parts, proof, now),
+        Way::Judged => quarantine.parts_sound(parts, proof, now),
     }
 }
--- a/crates/gateway/tests/all/part.rs
+++ b/crates/gateway/tests/all/part.rs
@@ -32,12 +32,12 @@
 fn crash(quarantine: &mut Quarantine, parts: &[Part], upstreams: std::ops::RangeInclusive<u64>) {
     for upstream in upstreams {
         let at = millis(4_000 * upstream);
-        quarantine.crashed_with(parts, upstream, Stage::Beginning, at);
+        quarantine.parts_crashed(parts, upstream, Stage::Beginning, at);
     }
 }
 
 fn is_held(quarantine: &Quarantine, parts: &[Part], now: Monotonic) -> bool {
-    quarantine.held_with(parts, now).is_some()
+    quarantine.parts_held(parts, now).is_some()
 }
 
 #[gtest]
@@ -58,7 +58,7 @@
 #[gtest]
 fn the_first_part_that_sound_requests_share_is_not_held_with_the_part_that_crashes() {
     let mut quarantine = Quarantine::default();
-    quarantine.sound_with(&[FIRST], Proof::Answered, millis(1_000));
+    quarantine.parts_sound(&[FIRST], Proof::Answered, millis(1_000));
     crash(&mut quarantine, &[FIRST, BAD], 1..=8);
     let now = millis(33_000);
     expect_that!(is_held(&quarantine, &[FIRST, BAD], now), eq(true));
@@ -73,7 +73,7 @@
     expect_that!(is_held(&quarantine, &[FIRST, BAD], now), eq(true));
     expect_that!(is_held(&quarantine, &[FIRST, 8], now), eq(false));
     expect_that!(is_held(&quarantine, &[9, BAD], now), eq(false));
-    quarantine.sound_with(&[FIRST, 8], Proof::Survived, now);
+    quarantine.parts_sound(&[FIRST, 8], Proof::Survived, now);
     expect_that!(is_held(&quarantine, &[9, BAD], now), eq(true));
     expect_that!(is_held(&quarantine, &[FIRST, 8], now), eq(false));
 }
@@ -84,7 +84,7 @@
     let mut quarantine = Quarantine::default();
     crash(&mut quarantine, &[FIRST, BAD], 1..=3);
     for other in 10..12 {
-        quarantine.crashed_with(&[FIRST, other], 2, Stage::Beginning, millis(8_000));
+        quarantine.parts_crashed(&[FIRST, other], 2, Stage::Beginning, millis(8_000));
     }
     let now = millis(13_000);
     expect_that!(is_held(&quarantine, &[FIRST, BAD], now), eq(true));
@@ -106,8 +106,8 @@
     let mut quarantine = Quarantine::default();
     for upstream in 1..=3 {
         let at = millis(4_000 * upstream);
-        quarantine.crashed_with(&[FIRST, BAD], upstream, Stage::Beginning, at);
-        quarantine.crashed_with(&[9, 100 + upstream], upstream, Stage::Beginning, at);
+        quarantine.parts_crashed(&[FIRST, BAD], upstream, Stage::Beginning, at);
+        quarantine.parts_crashed(&[9, 100 + upstream], upstream, Stage::Beginning, at);
     }
     let now = millis(13_000);
     let mut is_tried = |parts: &[Part]| {
@@ -117,7 +117,7 @@
     let tries: Vec<bool> = (0..6).map(|number| is_tried(&[9, number])).collect();
     expect_that!(tries, eq(&vec![false, false, true, false, false, true]));
     expect_that!(is_tried(&[FIRST, BAD]), eq(false));
-    quarantine.sound_with(&[9, 0], Proof::Survived, now);
+    quarantine.parts_sound(&[9, 0], Proof::Survived, now);
     expect_that!(is_held(&quarantine, &[9, 1], now), eq(false));
     for _ in 0..6 {
         let is_tried = quarantine.take_trial(&[FIRST, BAD], now, |_| false);
@@ -131,7 +131,7 @@
     let mut quarantine = Quarantine::default();
     crash(&mut quarantine, &[FIRST, BAD], 1..=3);
     crash(&mut quarantine, &[FIRST, 8], 4..=6);
-    quarantine.sound_with(&[FIRST], Proof::Survived, millis(25_000));
+    quarantine.parts_sound(&[FIRST], Proof::Survived, millis(25_000));
     let now = millis(25_000);
     expect_that!(is_held(&quarantine, &[BAD], now), eq(true));
     expect_that!(is_held(&quarantine, &[8], now), eq(true));
@@ -141,7 +141,7 @@
 #[gtest]
 fn a_part_that_becomes_bad_after_answers_is_held_at_five_crashes() {
     let mut quarantine = Quarantine::default();
-    quarantine.sound_with(&[BAD], Proof::Answered, millis(1_000));
+    quarantine.parts_sound(&[BAD], Proof::Answered, millis(1_000));
     crash(&mut quarantine, &[BAD], 1..=4);
     expect_that!(is_held(&quarantine, &[BAD], millis(17_000)), eq(false));
     crash(&mut quarantine, &[BAD], 5..=5);
@@ -153,7 +153,7 @@
     for proof in [Proof::Answered, Proof::Survived] {
         let mut quarantine = Quarantine::default();
         crash(&mut quarantine, &[FIRST], 1..=3);
-        quarantine.sound_with(&[FIRST], proof, millis(12_500));
+        quarantine.parts_sound(&[FIRST], proof, millis(12_500));
         expect_that!(is_held(&quarantine, &[FIRST], millis(13_000)), eq(false));
         crash(&mut quarantine, &[FIRST], 4..=7);
         expect_that!(is_held(&quarantine, &[FIRST], millis(29_000)), eq(false));
@@ -166,8 +166,8 @@
     let mut quarantine = Quarantine::default();
     for upstream in 1..=8 {
         let at = millis(4_000 * upstream);
-        quarantine.sound_with(&[BAD], Proof::Survived, at);
-        quarantine.crashed_with(&[BAD], upstream, Stage::Underway, at);
+        quarantine.parts_sound(&[BAD], Proof::Survived, at);
+        quarantine.parts_crashed(&[BAD], upstream, Stage::Underway, at);
         expect_that!(is_held(&quarantine, &[BAD], at), eq(upstream == 8));
     }
 }
@@ -177,9 +177,9 @@
     let mut quarantine = Quarantine::default();
     for upstream in 1..=12 {
         let at = millis(20_000);
-        quarantine.crashed_with(&[FIRST], upstream, Stage::Beginning, at);
-        quarantine.crashed_with(&[FIRST], upstream, Stage::Underway, at);
-        quarantine.crashed_with(&[8], upstream, Stage::Waiting, at);
+        quarantine.parts_crashed(&[FIRST], upstream, Stage::Beginning, at);
+        quarantine.parts_crashed(&[FIRST], upstream, Stage::Underway, at);
+        quarantine.parts_crashed(&[8], upstream, Stage::Waiting, at);
     }
     expect_that!(is_held(&quarantine, &[FIRST], millis(20_000)), eq(false));
     expect_that!(is_held(&quarantine, &[8], millis(20_000)), eq(false));
@@ -191,7 +191,7 @@
     for upstream in 1..=3 {
         let at = millis(4_000 * upstream);
         quarantine.crashed(99, upstream, at);
-        quarantine.crashed_with(&[FIRST, 8], upstream, Stage::Beginning, at);
+        quarantine.parts_crashed(&[FIRST, 8], upstream, Stage::Beginning, at);
     }
     let now = millis(13_000);
     expect_that!(quarantine.held_for(99, now), some(anything()));
@@ -203,7 +203,7 @@
     let mut quarantine = Quarantine::default();
     for upstream in 1..=3 {
         let at = millis(4_000 * upstream);
-        quarantine.crashed_with(&[BAD], upstream, Stage::Beginning, at);
+        quarantine.parts_crashed(&[BAD], upstream, Stage::Beginning, at);
         if upstream < 3 {
             quarantine.crashed(99, upstream, at);
         }
@@ -215,8 +215,8 @@
 fn a_held_part_names_the_crashes_that_it_explains() {
     let mut quarantine = Quarantine::default();
     crash(&mut quarantine, &[FIRST, BAD], 1..=4);
-    quarantine.sound_with(&[FIRST], Proof::Survived, millis(16_500));
-    let grounds = quarantine.held_with(&[BAD], millis(18_000));
+    quarantine.parts_sound(&[FIRST], Proof::Survived, millis(16_500));
+    let grounds = quarantine.parts_held(&[BAD], millis(18_000));
     let grounds = grounds.expect("grounds");
     expect_that!(grounds.parts, elements_are![eq(&BAD)]);
     expect_that!(grounds.left, eq(millis(118_000)));
@@ -246,9 +246,9 @@
         let again = due + millis(100);
         expect_that!(quarantine.take_trial(&[BAD], again, |_| true), eq(false));
         last = due + millis(200);
-        quarantine.crashed_with(&[BAD], upstream, Stage::Beginning, last);
+        quarantine.parts_crashed(&[BAD], upstream, Stage::Beginning, last);
     }
-    quarantine.sound_with(&[BAD], Proof::Answered, last + millis(1));
+    quarantine.parts_sound(&[BAD], Proof::Answered, last + millis(1));
     expect_that!(is_held(&quarantine, &[BAD], last + millis(1)), eq(false));
 }
 
@@ -259,8 +259,10 @@
     let end = millis(12_000) + RETENTION;
     let before = end.saturating_sub(millis(1));
     expect_that!(is_held(&quarantine, &[BAD], before), eq(true));
+    expect_that!(quarantine.held_parts(), eq(1));
     expect_that!(is_held(&quarantine, &[BAD], end), eq(false));
     expect_that!(quarantine.part_marks(end), is_empty());
+    expect_that!(quarantine.held_parts(), eq(0));
     expect_that!(quarantine.is_empty(), eq(true));
 }
 
@@ -272,7 +274,7 @@
     for part in 0..10_000 {
         for other in 0..4 {
             let parts = [u64::MAX - part, other];
-            quarantine.crashed_with(&parts, u64::MAX, Stage::Beginning, now);
+            quarantine.parts_crashed(&parts, u64::MAX, Stage::Beginning, now);
         }
     }
     let marks = quarantine.part_marks(now);
@@ -292,7 +294,7 @@
     let mut quarantine = Quarantine::default();
     let now = millis(1_000);
     for part in 0..200 {
-        quarantine.crashed_with(&[part], 1, Stage::Beginning, now);
+        quarantine.parts_crashed(&[part], 1, Stage::Beginning, now);
     }
     let mut told = std::collections::BTreeSet::new();
     for beat in 0..5 {
@@ -305,7 +307,7 @@
 #[gtest]
 fn a_gateway_that_knows_a_part_to_be_sound_tells_the_one_that_saw_the_crash() {
     let (mut first, mut second) = (Quarantine::default(), Quarantine::default());
-    second.sound_with(&[FIRST], Proof::Answered, millis(1_000));
+    second.parts_sound(&[FIRST], Proof::Answered, millis(1_000));
     crash(&mut first, &[FIRST, BAD], 1..=3);
     second.merge_parts(&first.part_marks(millis(13_000)), millis(13_000));
     first.merge_parts(&second.part_marks(millis(13_100)), millis(13_100));
@@ -319,7 +321,7 @@
 #[gtest]
 fn a_gateway_that_has_forgotten_an_answer_is_told_of_it_again() {
     let (mut first, mut second) = (Quarantine::default(), Quarantine::default());
-    first.sound_with(&[FIRST], Proof::Answered, millis(1_000));
+    first.parts_sound(&[FIRST], Proof::Answered, millis(1_000));
     for quarantine in [&mut first, &mut second] {
         crash(quarantine, &[FIRST], 1..=3);
     }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -89,7 +89,7 @@
         if let Some(left) = request {
             return Some(Held::Request(left));
         }
-        let grounds = gateway.quarantine.held_with(self.parts(), now)?;
+        let grounds = gateway.quarantine.parts_held(self.parts(), now)?;
         let is_first = self.sends == 0;
         if is_first && (self.is_trial.get() || self.takes_trial(&mut gateway, now)) {
             self.is_trial.set(true);
@@ -119,7 +119,7 @@
         let is_held = gateway.quarantine.crashed(request, start, now);
         let held = gateway
             .quarantine
-            .crashed_with(self.parts(), start, stage, now);
+            .parts_crashed(self.parts(), start, stage, now);
         drop(gateway);
         log::info!(
             target: "crashes",
@@ -150,7 +150,7 @@
         if is_success {
             gateway
                 .quarantine
-                .sound_with(self.parts(), Proof::Answered, now);
+                .parts_sound(self.parts(), Proof::Answered, now);
         }
     }
 
@@ -161,7 +161,7 @@
         if is_first || !gateway.quarantine.is_empty() {
             gateway
                 .quarantine
-                .sound_with(self.parts(), Proof::Survived, now);
+                .parts_sound(self.parts(), Proof::Survived, now);
         }
     }
 }
@@ -228,7 +228,7 @@
 fn log_newly_held(shared: &Shared, held: &[Vec<Part>]) {
     let now = shared.now();
     for parts in held {
-        let grounds = shared.gateway().quarantine.held_with(parts, now);
+        let grounds = shared.gateway().quarantine.parts_held(parts, now);
         let crashes = grounds.map(|grounds| describe(&grounds));
         log::info!(target: "crashes", parts:? = hex(parts), crashes:?; "parts quarantined");
     }
