--- a/crates/gateway/src/quarantine/part.rs
+++ b/crates/gateway/src/quarantine/part.rs
@@ -4,7 +4,7 @@
 //! parts are there as well: those of the requests beside it, and the other parts of its own prompt. Three things tell them
 //! apart. Answers clear a part, also those from before a crash. A crash counts in full only if an answer with the part was at
 //! its beginning, and no other one with the part at that upstream was further. And each crash is put down to one part only
-//! ([`verdict`](super::verdict)).
+//! (`verdict`).
 
 use std::collections::BTreeSet;
 use std::time::Duration;
