Metrics and log lines that tell the causes of the incident apart

Retries are counted and logged with their reason, the number of gateways that divide the budget is a gauge with a line when it changes, and crash probes, closed connections and ended streams are counted by outcome. No decision changes.

--- a/crates/http/src/failure.rs
+++ b/crates/http/src/failure.rs
@@ -26,6 +26,18 @@
 }
 
 impl Failure {
+    /// Returns a name for logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Failure::NotSent => "not_sent",
+            Failure::Refused(_) => "refused",
+            Failure::Lost => "lost",
+            Failure::Failed => "failed",
+            Failure::Malformed => "malformed",
+        }
+    }
+
     /// Returns whether the request ran.
     #[must_use]
     pub const fn fate(self) -> Fate {
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -37,14 +37,14 @@
                     flight.failed();
                     exchange.log_failure("response body truncated or timed out", &flight);
                     exchange.detect_crash(&flight, Stage::Beginning).await;
-                    if !exchange.may_rerun() {
+                    if !exchange.may_rerun("body") {
                         return exchange.give_up("response body truncated or timed out");
                     }
                     continue;
                 };
                 if reply.status.is_server_error() {
                     flight.failed();
-                    if exchange.may_rerun() {
+                    if exchange.may_rerun("server_error") {
                         exchange.log_failure("upstream returned a server error; retrying", &flight);
                         continue;
                     }
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -1,5 +1,6 @@
 //! HTTP server for callers.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
@@ -47,6 +48,7 @@
 
 async fn connection(shared: Rc<Shared>, stream: TcpStream) {
     shared.opened();
+    let served = Rc::new(Cell::new(0_u64));
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "callers", cause = error.to_string().as_str(); "failed to set TCP_NODELAY");
     }
@@ -54,9 +56,10 @@
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle);
     let header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.header_bytes);
     let service = {
-        let shared = Rc::clone(&shared);
+        let (shared, served) = (Rc::clone(&shared), Rc::clone(&served));
         service_fn(move |request| {
             let shared = Rc::clone(&shared);
+            served.set(served.get() + 1);
             async move { Ok::<_, Infallible>(serve(shared, request).await) }
         })
     };
@@ -81,5 +84,12 @@
     if let Err(error) = result {
         log::debug!(target: "callers", cause = error.to_string().as_str(); "connection closed with an error");
     }
+    let reason = match (shared.is_leaving(), served.get()) {
+        (true, 0) => "leaving_unused",
+        (true, _) => "leaving",
+        (false, 0) => "unused",
+        (false, _) => "used",
+    };
+    metrics::counter!("auburnline_connections_closed_total", "reason" => reason).increment(1);
     shared.closed();
 }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -181,7 +181,15 @@
 /// Returns whether connections to an address are refused.
 async fn refuses_connections(address: SocketAddr) -> bool {
     let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    let is_refused =
+        matches!(&connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
+    let outcome = match connected {
+        Ok(Ok(_)) => "accepted",
+        Ok(Err(_)) if is_refused => "refused",
+        Ok(Err(_)) | Err(_) => "undecided",
+    };
+    counter!("auburnline_crash_probes_total", "outcome" => outcome).increment(1);
+    is_refused
 }
 
 /// Notifies other gateways immediately, since the caller may retry at any of them.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -24,7 +24,6 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use metrics::counter;
 use tokio::time::timeout;
 
 use crate::admission;
@@ -289,7 +288,7 @@
                 gateway.refused(&self.plan, flight.upstream(), flight.group(), now);
                 drop(gateway);
                 Sent::Failed {
-                    may_retry: self.may_retry(self.sends),
+                    may_retry: self.may_retry(self.sends, "refused"),
                 }
             }
             Classification::Unrelated => {
@@ -308,7 +307,7 @@
             self.sends += 1;
             self.may_have_run = true;
             self.detect_crash(flight, Stage::Waiting).await;
-            self.may_rerun()
+            self.may_rerun(failure.name())
         };
         Sent::Failed { may_retry }
     }
@@ -318,27 +317,27 @@
         admission::wait(&self.shared, &self.plan, &self.arrival.call).await
     }
 
-    /// Returns whether a request that may have been executed may be sent again, and takes a retry from the budget if so.
-    pub(crate) fn may_rerun(&self) -> bool {
-        self.may_rerun_after(self.sends)
+    /// Returns whether a request that may have been executed may be sent again for this reason, and takes a retry from the budget
+    /// if so.
+    pub(crate) fn may_rerun(&self, reason: &'static str) -> bool {
+        self.may_rerun_after(self.sends, reason)
     }
 
     /// Does the same as [`Exchange::may_rerun`] for a request that was sent `sends` times.
-    pub(crate) fn may_rerun_after(&self, sends: u32) -> bool {
+    pub(crate) fn may_rerun_after(&self, sends: u32, reason: &'static str) -> bool {
         let is_idempotent = self.plan.route.kind.is_idempotent();
-        is_idempotent && !self.is_quarantined() && self.may_retry(sends)
+        is_idempotent && !self.is_quarantined() && self.may_retry(sends, reason)
     }
 
     /// Returns whether another attempt is allowed after `sends`, by the route, the deadline and the retry budget, and takes a
     /// retry from the budget if so.
-    fn may_retry(&self, sends: u32) -> bool {
+    fn may_retry(&self, sends: u32, reason: &'static str) -> bool {
         if sends >= self.plan.route.max_attempts || self.time_left().is_zero() {
             return false;
         }
         let now = self.shared.now();
         let is_allowed = self.shared.gateway().take_retry(&self.plan, now);
-        let outcome = if is_allowed { "repeat" } else { "no_budget" };
-        counter!("auburnline_repetitions_total", "outcome" => outcome).increment(1);
+        self.log_retry(reason, is_allowed);
         is_allowed
     }
 
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -78,6 +78,7 @@
     shared.update_readiness();
     shared.export_revisions();
     shared.export_evacuations();
+    shared.export_budget();
     let changes = shared.expire();
     shared.upstreams_changed(changes);
     let now = shared.now();
--- a/crates/relay/src/migration.rs
+++ b/crates/relay/src/migration.rs
@@ -28,7 +28,7 @@
                 let gateway = self.shared.gateway();
                 gateway.should_move(&self.plan, upstream, now)
             };
-            if is_better && self.may_rerun_after(sends) {
+            if is_better && self.may_rerun_after(sends, "straggler") {
                 return;
             }
         }
@@ -48,7 +48,7 @@
                 let gateway = self.shared.gateway();
                 gateway.is_silent(&self.plan, upstream, since, now)
             };
-            if is_silent && self.may_rerun_after(sends) {
+            if is_silent && self.may_rerun_after(sends, "silence") {
                 return;
             }
             sleep(SILENCE_POLL).await;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -49,6 +49,8 @@
     leaving: watch::Sender<bool>,
     leaving_since: Cell<Option<Monotonic>>,
     open: Cell<usize>,
+    /// Number of gateways by which the retry budget was last divided; `None` while it is unknown.
+    budget_members: Cell<Option<usize>>,
     /// Wakes the source when there may be something to read.
     pub(crate) source_wakeup: Notify,
     /// Wakes the source when another gateway has passed the published state on.
@@ -73,6 +75,7 @@
             leaving: watch::Sender::new(false),
             leaving_since: Cell::new(None),
             open: Cell::new(0),
+            budget_members: Cell::new(None),
             source_wakeup: Notify::new(),
             transferred: Notify::new(),
             straggler_reported: Notify::new(),
@@ -251,6 +254,19 @@
         }
     }
 
+    /// Exports the number of gateways that share the retry budget, 0 while it is unknown, and logs a change.
+    pub(crate) fn export_budget(&self) {
+        let gateway = self.gateway();
+        let members = gateway.roster.fleet_size(self.now());
+        let live = gateway.roster.live(self.now());
+        drop(gateway);
+        if self.budget_members.replace(members) != members {
+            log::info!(target: "retries", members:?, live; "share of the retry budget changed");
+        }
+        let members = u32::try_from(members.unwrap_or(0)).unwrap_or(u32::MAX);
+        metrics::gauge!("auburnline_budget_members").set(members);
+    }
+
     /// Starts the shutdown: withdraws readiness and notifies connections.
     pub(crate) fn leave(&self) {
         if self.leaving_since.get().is_none() {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -67,7 +67,7 @@
                 let status = reply.status;
                 if status.is_server_error() {
                     flight.failed();
-                    if exchange.may_rerun() {
+                    if exchange.may_rerun("server_error") {
                         exchange.log_failure("upstream returned a server error; retrying", &flight);
                         continue;
                     }
@@ -252,7 +252,7 @@
     /// Resumes the stream at another upstream after a failure; returns whether that succeeded.
     async fn resume(&mut self) -> bool {
         !self.splitter.is_within_event()
-            && self.exchange.may_rerun()
+            && self.exchange.may_rerun("interrupted")
             && self.resume_within(None).await
     }
 
@@ -281,6 +281,7 @@
         let pace = gateway.pace(self.flight.group());
         self.timing.mean_pass = pace.map(Group::mean_pass).unwrap_or_default();
         drop(gateway);
+        counter!("auburnline_streams_total", "outcome" => outcome).increment(1);
         let status = if outcome == "complete" { 200 } else { 0 };
         self.exchange.log_answer(status, &self.timing);
     }
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -149,6 +149,14 @@
         }
     }
 
+    /// Logs and counts the decision on another attempt.
+    pub(crate) fn log_retry(&self, reason: &'static str, is_allowed: bool) {
+        let outcome = if is_allowed { "repeat" } else { "no_budget" };
+        log::info!(target: "retries", request = self.id(), service = &*self.plan.service, reason, outcome; "retry");
+        counter!("auburnline_repetitions_total", "outcome" => outcome, "reason" => reason)
+            .increment(1);
+    }
+
     /// Logs and counts a failed or abandoned attempt.
     pub(crate) fn log_failure(&self, cause: &str, flight: &Flight) {
         log::info!(
