--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod restore;
 mod route;
 mod settled;
+mod share;
 mod silence;
 mod spread;
 mod start;
--- a/crates/gateway/tests/all/membership.rs
+++ b/crates/gateway/tests/all/membership.rs
@@ -49,26 +49,32 @@
 }
 
 /// A fleet of rosters; `None` is a gateway that does not run.
-struct World {
+pub(crate) struct World {
     now: Duration,
     steps: usize,
     incarnations: u64,
-    rosters: Vec<Option<Roster>>,
+    pub(crate) rosters: Vec<Option<Roster>>,
+    /// When each gateway started.
+    started: Vec<Duration>,
+    /// Gateways that make no progress; what is sent to them waits.
+    pub(crate) frozen: Vec<bool>,
     inboxes: Vec<Vec<(usize, Message)>>,
     rng: ChaCha8Rng,
     /// Bytes of all messages sent.
     bytes: usize,
     /// Number of gateways, the first ones, that exchange messages only with each other.
-    cut: usize,
+    pub(crate) cut: usize,
 }
 
 impl World {
-    fn start(count: usize) -> World {
+    pub(crate) fn start(count: usize) -> World {
         let mut world = World {
             now: Duration::ZERO,
             steps: 0,
             incarnations: 0,
             rosters: Vec::new(),
+            started: vec![Duration::ZERO; count],
+            frozen: vec![false; count],
             inboxes: vec![Vec::new(); count],
             rng: ChaCha8Rng::seed_from_u64(1),
             bytes: 0,
@@ -90,7 +96,25 @@
         Roster::new(me, (0..3).map(peers).collect())
     }
 
-    fn run(&mut self, time: Duration) {
+    /// Stops a gateway and starts it again, which then knows nothing.
+    pub(crate) fn restart(&mut self, number: usize) {
+        self.started[number] = self.now;
+        self.inboxes[number].clear();
+        self.rosters[number] = Some(self.boot(number));
+    }
+
+    /// Returns the sum of the shares that the running gateways take of what their fleet shares.
+    pub(crate) fn shares(&self) -> f64 {
+        let running = self.rosters.iter().zip(&self.started);
+        let sizes = running.filter_map(|(roster, started)| {
+            let now = self.now.saturating_sub(*started);
+            roster.as_ref()?.fleet_size(now)
+        });
+        let shares = sizes.map(|size| 1.0 / f64::from(u32::try_from(size).expect("a fleet")));
+        shares.sum()
+    }
+
+    pub(crate) fn run(&mut self, time: Duration) {
         let until = self.now + time;
         while self.now < until {
             self.now += STEP;
@@ -102,20 +126,24 @@
     }
 
     fn step(&mut self, number: usize) {
+        if self.frozen[number] {
+            return;
+        }
+        let now = self.now.saturating_sub(self.started[number]);
         let inbox = std::mem::take(&mut self.inboxes[number]);
         let Some(mut roster) = self.rosters[number].take() else {
             return;
         };
         for (from, message) in inbox {
-            let reply = self.receive(&mut roster, message);
+            let reply = self.receive(&mut roster, message, now);
             if let Some(reply) = reply {
                 self.send(number, peers(from), reply);
             }
         }
         if (self.steps + number).is_multiple_of(BEAT_STEPS) {
-            let news = roster.news(self.now, &mut self.rng);
-            let heartbeat = roster.next_heartbeat(Vec::new(), self.now, &mut self.rng);
-            for target in roster.targets(self.now, &mut self.rng) {
+            let news = roster.news(now, &mut self.rng);
+            let heartbeat = roster.next_heartbeat(Vec::new(), now, &mut self.rng);
+            for target in roster.targets(now, &mut self.rng) {
                 self.send(
                     number,
                     target,
@@ -126,25 +154,25 @@
         self.rosters[number] = Some(roster);
     }
 
-    fn receive(&mut self, roster: &mut Roster, message: Message) -> Option<Message> {
+    fn receive(&mut self, roster: &mut Roster, message: Message, now: Duration) -> Option<Message> {
         match message {
             Message::Heartbeat(heartbeat, news) => {
-                let needs_reply = roster.needs_join_reply(&heartbeat, self.now);
-                roster.receive(&heartbeat, self.now);
-                let requested = roster.apply_news(&news, self.now);
+                let needs_reply = roster.needs_join_reply(&heartbeat, now);
+                roster.receive(&heartbeat, now);
+                let requested = roster.apply_news(&news, now);
                 if needs_reply {
-                    let reply = roster.next_heartbeat(Vec::new(), self.now, &mut self.rng);
+                    let reply = roster.next_heartbeat(Vec::new(), now, &mut self.rng);
                     return Some(Message::JoinReply(reply));
                 }
                 (!requested.is_empty()).then_some(Message::Request(requested))
             }
             Message::JoinReply(heartbeat) => {
-                roster.receive(&heartbeat, self.now);
+                roster.receive(&heartbeat, now);
                 None
             }
-            Message::Request(tags) => Some(Message::Entries(roster.entries(&tags, self.now))),
+            Message::Request(tags) => Some(Message::Entries(roster.entries(&tags, now))),
             Message::Entries(entries) => {
-                roster.apply_entries(&entries, self.now);
+                roster.apply_entries(&entries, now);
                 None
             }
         }
@@ -250,11 +278,8 @@
         let mut world = World::start(count);
         for _ in 0..60 {
             world.run(STEP);
-            let rosters = world.rosters.iter().flatten();
-            let sizes = rosters.filter_map(|roster| roster.fleet_size(world.now));
-            let shares = sizes.map(|size| 1.0 / f64::from(u32::try_from(size).expect("a fleet")));
             let what = format!("{count} gateways after {:?}", world.now);
-            expect_that!(shares.sum::<f64>(), le(1.05), "{what}");
+            expect_that!(world.shares(), le(1.05), "{what}");
         }
         world.run(Duration::from_secs(4));
         let rosters = world.rosters.iter().flatten();
