A gateway that shuts down answers what comes on open connections

What callers saw: requests on new and on kept connections of a gateway that was stopped ended without an answer, none of them passed on. Cause: each connection was told to shut down as soon as SIGTERM came, and the HTTP library closes one at once on which no request is being read. The time for which the gateway meant to go on serving applied to accept() alone. Now a shutdown has phases: it serves and asks for the end of each connection in the answer, then refuses as not run, and closes only connections on which nothing came for a tenth and more of the grace period. The same cause elsewhere: connections beyond the maximum were closed without an answer and are refused now, up to half as many more; a panic in a handler no longer leaks the count of open connections; SIGTERM is handled before the first address is bound.

--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -1,4 +1,8 @@
 //! HTTP server for callers.
+//!
+//! A gateway that shuts down goes on accepting connections, since callers learn only later that they should use another one. It
+//! serves what comes at first, then refuses it as not run, and asks for the end of each connection in the answer. A connection
+//! is closed without one only if no request comes on it.
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -6,6 +10,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use auburnline_core::error::Kind;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header::CONNECTION;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -15,7 +25,10 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::exchange::refuse_any;
 use crate::exchange::serve;
+use crate::head::Body;
+use crate::shared::Phase;
 use crate::shared::Shared;
 
 /// Pause after a failed `accept`, which is mostly due to a lack of file descriptors.
@@ -27,13 +40,70 @@
 /// Smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
-/// Accepts callers' connections until the task is aborted, and closes new ones at once while
-/// `max_connections` are open.
+/// Divisor of the maximum number of connections that gives how many may be open beyond it. Requests on these are refused, which
+/// takes no connection to an upstream.
+const EXCESS_DIVISOR: usize = 2;
+
+/// An open connection of a caller, which is counted until it is dropped.
+struct Open {
+    shared: Rc<Shared>,
+    /// Requests read so far.
+    requests: Cell<u64>,
+    /// Whether it is one beyond the maximum.
+    is_excess: bool,
+}
+
+impl Open {
+    fn new(shared: Rc<Shared>, is_excess: bool) -> Rc<Open> {
+        shared.opened();
+        Rc::new(Open {
+            shared,
+            requests: Cell::new(0),
+            is_excess,
+        })
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        self.requests.set(self.requests.get() + 1);
+        let shared = &self.shared;
+        let mut response = if self.is_excess {
+            refuse_any(shared, request, Kind::Overloaded, "too many connections").await
+        } else if shared.phase() >= Phase::Refusing {
+            refuse_any(shared, request, Kind::Leaving, "shutting down").await
+        } else {
+            serve(Rc::clone(shared), request).await
+        };
+        if self.is_excess || shared.is_leaving() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let reason = match (self.shared.is_leaving(), self.requests.get()) {
+            (true, 0) => "leaving_unused",
+            (true, _) => "leaving",
+            (false, 0) => "unused",
+            (false, _) => "used",
+        };
+        metrics::counter!("auburnline_connections_closed_total", "reason" => reason).increment(1);
+        self.shared.closed();
+    }
+}
+
+/// Accepts callers' connections for as long as the process runs. While `max_connections` are open, requests on new ones are
+/// refused, and far beyond that new ones are closed at once.
 pub(crate) async fn listen(shared: Rc<Shared>, listener: TcpListener, max_connections: usize) {
+    let excess = max_connections + max_connections / EXCESS_DIVISOR;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) if shared.open() < max_connections => {
-                spawn_local(connection(Rc::clone(&shared), stream));
+            Ok((stream, _)) if shared.open() < excess => {
+                let is_excess = shared.open() >= max_connections;
+                let open = Open::new(Rc::clone(&shared), is_excess);
+                spawn_local(connection(open, stream));
             }
             Ok(_) => metrics::counter!("auburnline_connections_refused_total").increment(1),
             Err(error) => pause_after(&error).await,
@@ -46,23 +116,18 @@
     sleep(ACCEPT_PAUSE).await;
 }
 
-async fn connection(shared: Rc<Shared>, stream: TcpStream) {
-    shared.opened();
-    let served = Rc::new(Cell::new(0_u64));
+async fn connection(open: Rc<Open>, stream: TcpStream) {
+    let shared = Rc::clone(&open.shared);
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "callers", cause = error.to_string().as_str(); "failed to set TCP_NODELAY");
     }
     let limits = shared.gateway().table().map(|table| table.limits());
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle);
     let header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.header_bytes);
-    let service = {
-        let (shared, served) = (Rc::clone(&shared), Rc::clone(&served));
-        service_fn(move |request| {
-            let shared = Rc::clone(&shared);
-            served.set(served.get() + 1);
-            async move { Ok::<_, Infallible>(serve(shared, request).await) }
-        })
-    };
+    let service = service_fn(move |request| {
+        let open = Rc::clone(&open);
+        async move { Ok::<_, Infallible>(open.answer(request).await) }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper has a single timeout for the time between requests and for the arrival of a head.
@@ -70,13 +135,17 @@
         .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let mut leaving = shared.leaving();
-    let shutdown = async {
-        let _ = leaving.wait_for(|is_leaving| *is_leaving).await;
+    let mut phase = shared.phases();
+    let is_late = *phase.borrow() == Phase::Closing;
+    let closing = async {
+        if is_late {
+            std::future::pending::<()>().await;
+        }
+        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
     };
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = shutdown => {
+        () = closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -84,12 +153,4 @@
     if let Err(error) = result {
         log::debug!(target: "callers", cause = error.to_string().as_str(); "connection closed with an error");
     }
-    let reason = match (shared.is_leaving(), served.get()) {
-        (true, 0) => "leaving_unused",
-        (true, _) => "leaving",
-        (false, 0) => "unused",
-        (false, _) => "used",
-    };
-    metrics::counter!("auburnline_connections_closed_total", "reason" => reason).increment(1);
-    shared.closed();
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -47,6 +47,9 @@
 /// retry budget.
 const MAX_UNSENT_ATTEMPTS: usize = 3;
 
+/// Retry time of a request that another gateway can serve.
+const RETRY_ELSEWHERE: Duration = Duration::ZERO;
+
 /// A caller's request after its body was read.
 pub(crate) struct Arrival {
     pub(crate) method: Method,
@@ -138,6 +141,26 @@
     }
 }
 
+/// Refuses a request of a caller without any regard to what it asks for.
+pub(crate) async fn refuse_any(
+    shared: &Shared,
+    request: Request<Incoming>,
+    kind: Kind,
+    reason: &'static str,
+) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let call = shared.dialect.call(&head.uri, &head.headers);
+    let id = call.map(|call| call.id).unwrap_or_default();
+    // Closing a connection with unread bytes would reset it, and the answer would be lost.
+    let _ = read_body(shared, body).await;
+    refuse(
+        shared,
+        &id,
+        None,
+        &Refusal::new(kind, reason).with_retry_after(RETRY_ELSEWHERE),
+    )
+}
+
 async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, Kind> {
     let limits = shared.gateway().table().map(|table| table.limits());
     let max_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.body_bytes);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -28,14 +28,18 @@
 use crate::endpoints::Endpoints;
 use crate::gossip;
 use crate::settings::Settings;
+use crate::shared::Phase;
 use crate::shared::Shared;
 use crate::source::Feed;
 use crate::source::Source;
 use crate::transfer;
 
-/// Fraction of the grace period for which a gateway that is shutting down accepts new connections: callers cache discovery
+/// Fraction of the grace period for which a gateway that is shutting down serves new requests: callers cache discovery
 /// responses for seconds, and the requests that they send meanwhile must still complete within the period.
-const ACCEPT_FRACTION: f64 = 0.35;
+const SERVE_FRACTION: f64 = 0.35;
+/// Fraction of the grace period after which connections without a request are closed. Callers that use theirs were refused
+/// before, and know that this gateway leaves.
+const CLOSE_FRACTION: f64 = 0.5;
 /// Fraction of the grace period after which the process exits even if connections are still open.
 const EXIT_FRACTION: f64 = 0.95;
 /// Interval at which a shutdown checks whether all connections are closed.
@@ -96,30 +100,30 @@
         settings:?;
         "start"
     );
-    let acceptor = listen(&shared, &settings, metrics).await?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    listen(&shared, &settings, metrics).await?;
     spawn_local(source.run(Feed(Rc::clone(&shared))));
     spawn_local(watch_settings(
         Rc::clone(&shared),
         path.to_owned(),
         settings.clone(),
     ));
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    leave(&shared, Duration::from_millis(settings.grace_ms), &acceptor).await;
+    leave(&shared, Duration::from_millis(settings.grace_ms)).await;
     log::info!(target: "process", open = shared.open(), reason = "signal"; "stop");
     Ok(())
 }
 
-/// Binds all addresses and starts the servers; returns the task that accepts callers' connections.
+/// Binds all addresses and starts the servers.
 async fn listen(
     shared: &Rc<Shared>,
     settings: &Settings,
     metrics: metrics::Handle,
-) -> io::Result<tokio::task::JoinHandle<()>> {
+) -> io::Result<()> {
     let callers = TcpListener::bind(settings.callers).await?;
     let socket = Rc::new(UdpSocket::bind(settings.peers).await?);
     shared.set_socket(Rc::clone(&socket));
@@ -136,22 +140,23 @@
     spawn_local(gossip::run(Rc::clone(shared), socket));
     spawn_local(transfer::run(Rc::clone(shared)));
     let max_connections = settings.descriptors / DESCRIPTORS_PER_CALLER;
-    Ok(spawn_local(callers::listen(
-        Rc::clone(shared),
-        callers,
-        max_connections,
-    )))
+    let callers = callers::listen(Rc::clone(shared), callers, max_connections);
+    spawn_local(callers);
+    Ok(())
 }
 
-/// Shuts down gracefully: announces it, accepts new connections for a while longer, and returns once all connections are closed
-/// or the grace period is nearly over.
-async fn leave(shared: &Shared, grace: Duration, acceptor: &tokio::task::JoinHandle<()>) {
+/// Shuts down gracefully: announces it, serves new requests for a while longer, refuses them after that, and returns once all
+/// connections are closed or the grace period is nearly over.
+async fn leave(shared: &Shared, grace: Duration) {
     log::info!(target: "process", open = shared.open(), grace_ms = crate::telemetry::millis(grace); "leaving");
     shared.leave();
     loop {
         let leaving_for = shared.leaving_for().unwrap_or_default();
-        if leaving_for >= grace.mul_f64(ACCEPT_FRACTION) {
-            acceptor.abort();
+        if leaving_for >= grace.mul_f64(SERVE_FRACTION) {
+            shared.enter(Phase::Refusing);
+        }
+        if leaving_for >= grace.mul_f64(CLOSE_FRACTION) {
+            shared.enter(Phase::Closing);
             if shared.open() == 0 {
                 return;
             }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -39,6 +39,19 @@
 /// Maximum size of a message to another process: enough for a configuration of some hundred routes, and within one UDP datagram.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 
+/// Stage of a gateway's life, in order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// It serves.
+    Serving,
+    /// It shuts down, and serves the requests of callers that do not know it yet.
+    Leaving,
+    /// It refuses new requests.
+    Refusing,
+    /// It closes connections that are idle.
+    Closing,
+}
+
 /// State of one gateway process.
 pub(crate) struct Shared {
     clock: Clock,
@@ -46,7 +59,7 @@
     pub(crate) dialect: Rc<dyn Dialect>,
     clients: RefCell<HashMap<UpstreamId, Client>>,
     capacity_freed: RefCell<HashMap<ServiceId, Rc<Notify>>>,
-    leaving: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
     leaving_since: Cell<Option<Monotonic>>,
     open: Cell<usize>,
     /// Number of gateways by which the retry budget was last divided; `None` while it is unknown.
@@ -72,7 +85,7 @@
             dialect,
             clients: RefCell::default(),
             capacity_freed: RefCell::default(),
-            leaving: watch::Sender::new(false),
+            phase: watch::Sender::new(Phase::Serving),
             leaving_since: Cell::new(None),
             open: Cell::new(0),
             budget_members: Cell::new(None),
@@ -267,11 +280,11 @@
         metrics::gauge!("auburnline_budget_members").set(members);
     }
 
-    /// Starts the shutdown: withdraws readiness and notifies connections.
+    /// Starts the shutdown: withdraws readiness.
     pub(crate) fn leave(&self) {
         if self.leaving_since.get().is_none() {
             self.leaving_since.set(Some(self.now()));
-            self.leaving.send_replace(true);
+            self.phase.send_replace(Phase::Leaving);
             self.gateway().close_startup();
             self.can_serve_changed.notify_waiters();
             self.update_readiness();
@@ -289,9 +302,23 @@
         Some(self.now().saturating_sub(since))
     }
 
-    /// Returns a receiver that becomes true when the shutdown starts.
-    pub(crate) fn leaving(&self) -> watch::Receiver<bool> {
-        self.leaving.subscribe()
+    /// Enters a later phase of the shutdown.
+    pub(crate) fn enter(&self, phase: Phase) {
+        self.phase.send_if_modified(|current| {
+            let is_later = phase > *current;
+            *current = phase.max(*current);
+            is_later
+        });
+    }
+
+    /// Returns the present phase.
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Returns a receiver that follows the phases.
+    pub(crate) fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
     }
 
     /// Counts a new caller connection.
