What an upstream sends before the head of its answer is bounded

What callers saw: while one of three upstreams sent informational responses without end, most requests at sound upstreams failed too. Cause: the HTTP library skips informational responses in one loop for as long as bytes are ready, so their number is unbounded and the thread is kept. Connections of the client count the bytes from a request to the end of its answer's head and fail beyond 256 KiB, and read 64 KiB at most at once. This serves all clients: upstreams, the store, engines.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 
 use crate::failure::Failure;
+use crate::meter::Meter;
 use crate::timeouts::Timeouts;
 use crate::wait::bounded;
 
@@ -17,6 +18,8 @@
 #[derive(Debug)]
 pub struct Body {
     incoming: Incoming,
+    /// Meter of the connection, until the answer is over.
+    meter: Option<Meter>,
     silence: Duration,
     whole: Duration,
     /// Whether the end of the body can be told from a lost connection.
@@ -26,9 +29,15 @@
 }
 
 impl Body {
-    pub(crate) fn new(incoming: Incoming, timeouts: &Timeouts, delimited: bool) -> Self {
+    pub(crate) fn new(
+        incoming: Incoming,
+        meter: Meter,
+        timeouts: &Timeouts,
+        delimited: bool,
+    ) -> Self {
         Self {
             incoming,
+            meter: Some(meter),
             silence: timeouts.silence,
             whole: timeouts.whole,
             delimited,
@@ -60,7 +69,10 @@
         loop {
             let frame = match bounded(self.silence, self.incoming.frame()).await {
                 Ok(Some(frame)) => frame,
-                Ok(None) => return self.end(),
+                Ok(None) => {
+                    self.release();
+                    return self.end();
+                }
                 Err(elapsed) => return Some(Err(elapsed).change_context(Failure::Lost)),
             };
             match frame {
@@ -77,6 +89,12 @@
         }
     }
 
+    fn release(&mut self) {
+        if let Some(meter) = self.meter.take() {
+            meter.end();
+        }
+    }
+
     fn end(&self) -> Option<Result<Bytes, Report<Failure>>> {
         let lost = || {
             Report::new(Failure::Lost)
@@ -92,16 +110,31 @@
     /// Returns [`Failure::Malformed`] if the body exceeds `limit` bytes, and otherwise fails as
     /// [`Body::next`] does. The time limit for the complete body also gives [`Failure::Lost`].
     pub async fn whole(self, limit: usize) -> Result<Bytes, Report<Failure>> {
-        bounded(self.whole, self.collect(limit))
+        self.whole_if(|bytes| bytes <= limit).await
+    }
+
+    /// Reads the complete body, as long as `has_room` holds for the bytes so far.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure::Malformed`] if there is no room, and otherwise fails as [`Body::whole`] does.
+    pub async fn whole_if(
+        self,
+        has_room: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, Report<Failure>> {
+        bounded(self.whole, self.collect(has_room))
             .await
             .change_context(Failure::Lost)?
     }
 
-    async fn collect(mut self, limit: usize) -> Result<Bytes, Report<Failure>> {
+    async fn collect(
+        mut self,
+        mut has_room: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, Report<Failure>> {
         let mut whole = BytesMut::new();
         while let Some(part) = self.next().await {
             let part = part?;
-            if whole.len() + part.len() > limit {
+            if !has_room(whole.len() + part.len()) {
                 return Err(
                     Report::new(Failure::Malformed).attach("the body exceeds its size limit")
                 );
@@ -112,6 +145,12 @@
     }
 }
 
+impl Drop for Body {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
+
 fn body_failure(error: &hyper::Error) -> Failure {
     if error.is_parse() {
         Failure::Malformed
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -29,6 +29,8 @@
 
 use crate::body::Body;
 use crate::failure::Failure;
+use crate::meter::Connector;
+use crate::meter::Meter;
 use crate::timeouts::Timeouts;
 use crate::wait::bounded;
 
@@ -36,10 +38,12 @@
 pub const NOT_RUN: &str = "x-not-run";
 /// Size limit of a JSON answer in [`json`], in bytes.
 pub const MAX_JSON_BYTES: usize = 4 << 20;
+/// Read buffer of a connection, and maximum size of the head of an answer, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections kept for reuse.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
-type Inner = legacy::Client<HttpConnector, Full<Bytes>>;
+type Inner = legacy::Client<Connector, Full<Bytes>>;
 
 /// Which connection to use for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -148,7 +152,9 @@
                 return Err(Report::new(error).change_context(failure));
             }
         };
-        let (head, incoming) = response.into_parts();
+        let (mut head, incoming) = response.into_parts();
+        let meter = head.extensions.remove::<Meter>().unwrap_or_default();
+        meter.head_arrived();
         if head.headers.contains_key(NOT_RUN) && !head.status.is_success() {
             return Err(Report::new(Failure::Refused(head.status.as_u16())));
         }
@@ -156,7 +162,7 @@
         Ok(Reply {
             status: head.status,
             headers: head.headers,
-            body: Body::new(incoming, &self.timeouts, delimited),
+            body: Body::new(incoming, meter, &self.timeouts, delimited),
         })
     }
 }
@@ -195,8 +201,9 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(timeouts.idle)
         .pool_max_idle_per_host(idle)
+        .http1_max_buf_size(MAX_BUFFER_BYTES)
         .retry_canceled_requests(false)
-        .build(connector)
+        .build(Connector(connector))
 }
 
 fn is_delimited(status: StatusCode, headers: &HeaderMap) -> bool {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! A request is sent once: this crate never retries by itself. Every failure is one of the closed
 //! list [`Failure`], which tells whether the upstream may have run the request. Every wait has a
-//! timeout, so that a connection on which nothing arrives ends in a failure. This is not a general
+//! timeout, so that a connection on which nothing arrives ends in a failure, and what an upstream may
+//! send is bounded in the head of an answer and in its body. This is not a general
 //! HTTP client: it supports no redirects, no name resolution and no encryption.
 
 mod body;
 mod client;
 mod failure;
+mod meter;
 mod timeouts;
 mod wait;
 
