Answers share bounded memory

Each answer may be 16 MiB, and nothing bounded all of them together: bodies without end from one of three upstreams took 194 and 256 MB (endless::bodies, red before), where an instance has 260. Beyond 64 KiB each, answers now share 32 MiB until they are passed on; one that finds no room counts as malformed. Small answers never wait for large ones.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -29,13 +29,16 @@
         match exchange.send(None, attempt_timeout).await {
             Sent::Began(reply, mut flight) => {
                 let is_delimited = reply.body.is_delimited();
-                let body = timeout(attempt_timeout, reply.body.whole(MAX_ANSWER_BYTES)).await;
+                let mut buffer = exchange.shared.answers.buffer();
+                let has_room = |bytes| bytes <= MAX_ANSWER_BYTES && buffer.resize(bytes);
+                let body = timeout(attempt_timeout, reply.body.whole_if(has_room)).await;
                 let body = body.ok().and_then(Result::ok);
                 // An upstream that crashes closes its connections too.
                 let is_whole = is_delimited || !flight.has_crashed().await;
                 let Some(body) = body.filter(|_| is_whole) else {
                     flight.failed();
-                    exchange.log_failure("response body truncated or timed out", &flight);
+                    exchange
+                        .log_failure("response body truncated, timed out or too large", &flight);
                     exchange.detect_crash(&flight, Stage::Beginning).await;
                     if !exchange.may_rerun("body") {
                         return exchange.give_up("response body truncated or timed out");
@@ -54,7 +57,7 @@
                 }
                 exchange.log_answer(reply.status.as_u16(), &Timing::default());
                 let headers = head::end_to_end(&reply.headers);
-                return head::whole(reply.status, headers, body);
+                return head::whole(reply.status, headers, buffer.hold(body));
             }
             Sent::Failed { may_retry: true } => {}
             Sent::Failed { may_retry: false } => return exchange.give_up("all attempts failed"),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod answer;
 mod assign;
+mod buffer;
 mod callers;
 mod clock;
 mod condition;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -25,6 +25,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::buffer::Pool;
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::source::log_changes;
@@ -62,6 +63,8 @@
     phase: watch::Sender<Phase>,
     leaving_since: Cell<Option<Monotonic>>,
     open: Cell<usize>,
+    /// Memory for the answers that are being received or passed on.
+    pub(crate) answers: Pool,
     /// Number of gateways by which the retry budget was last divided; `None` while it is unknown.
     budget_members: Cell<Option<usize>>,
     /// Wakes the source when there may be something to read.
@@ -88,6 +91,7 @@
             phase: watch::Sender::new(Phase::Serving),
             leaving_since: Cell::new(None),
             open: Cell::new(0),
+            answers: Pool::default(),
             budget_members: Cell::new(None),
             source_wakeup: Notify::new(),
             transferred: Notify::new(),
