Bytes that never become an event end their stream

What callers saw: a stream whose first event never ended was passed on under status 200, and lasted beyond its request's deadline. Cause: an event longer than 256 KiB was passed on in parts, and a timeout polls what it wraps first, so a body whose bytes are always ready never times out. An event longer than 256 KiB breaks its stream like a lost connection, and so does memory that runs out for events that have not ended; after the deadline 256 KiB more are read, for what came in time.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -4,11 +4,8 @@
 //! events only. A stream that breaks off within an event can then be resumed at another upstream
 //! without truncated or duplicate events.
 
-/// Maximum size of one event, in bytes. A longer one is passed on in parts, and the stream can't be
-/// resumed until it is whole.
+/// Maximum size of one event, in bytes. What is longer is no event.
 pub const MAX_EVENT_BYTES: usize = 256 << 10;
-/// Longest line that may hold an event's `id`; a longer one that is unfinished is passed on.
-const MAX_ID_LINE_BYTES: usize = 64;
 
 /// Value of an event's `id` field; increases within a stream.
 pub type EventId = u64;
@@ -22,24 +19,12 @@
     last: Option<EventId>,
     /// Events up to this one are dropped, since an earlier run has delivered them.
     delivered: Option<EventId>,
-    /// Event whose first part has left the buffer.
-    begun: Option<Begun>,
-}
-
-/// An event longer than [`MAX_EVENT_BYTES`] whose end has not arrived.
-#[derive(Clone, Copy, Debug, Default)]
-struct Begun {
-    id: Option<EventId>,
-    is_repeated: bool,
-    /// Whether the buffer starts within a line.
-    is_within_line: bool,
 }
 
 /// Whole events completed by one push.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Events {
-    /// Bytes of the events, in order; at the end perhaps a part of one longer than
-    /// [`MAX_EVENT_BYTES`].
+    /// Bytes of the events, in order.
     pub bytes: Vec<u8>,
     /// Number of whole events.
     pub count: usize,
@@ -75,19 +60,22 @@
         !self.buffer.is_empty()
     }
 
-    /// Returns whether a part of an event was passed on and its end was not; another run can't
-    /// continue it.
+    /// Returns how many bytes the buffer holds of an event that has not ended, or that is longer than [`MAX_EVENT_BYTES`].
     #[must_use]
-    pub fn is_within_event(&self) -> bool {
-        self.begun.is_some_and(|begun| !begun.is_repeated)
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
     }
 
-    /// Appends the next bytes and returns the events that they complete.
+    /// Appends the next bytes and returns the events that they complete. An event longer than [`MAX_EVENT_BYTES`] is never
+    /// returned; [`Splitter::buffered`] tells of it.
     pub fn push(&mut self, bytes: &[u8]) -> Events {
         self.buffer.extend_from_slice(bytes);
         let mut events = Events::default();
         let mut start = 0;
         while let Some(end) = event_end(&self.buffer, start.max(self.scanned)) {
+            if end - start > MAX_EVENT_BYTES {
+                break;
+            }
             self.pass_on(start, end, &mut events);
             start = end;
             self.scanned = end;
@@ -95,9 +83,6 @@
         self.buffer.drain(..start);
         // The end of an event spans up to four bytes, so the last three are searched again.
         self.scanned = self.buffer.len().saturating_sub(3);
-        if self.buffer.len() > MAX_EVENT_BYTES {
-            self.pass_on_part(&mut events);
-        }
         events
     }
 
@@ -105,62 +90,19 @@
     #[must_use]
     pub fn rest(&mut self) -> Vec<u8> {
         self.scanned = 0;
-        let rest = std::mem::take(&mut self.buffer);
-        let is_repeated = self.begun.take().is_some_and(|begun| begun.is_repeated);
-        if is_repeated { Vec::new() } else { rest }
+        std::mem::take(&mut self.buffer)
     }
 
     fn pass_on(&mut self, start: usize, end: usize, events: &mut Events) {
-        let begun = self.begun.take();
         let event = &self.buffer[start..end];
-        let id = begun.unwrap_or_default().id_with(event);
-        let is_repeated = begun.map_or(self.is_repeated(id), |begun| begun.is_repeated);
-        if is_repeated {
+        let id = event_id(event);
+        if matches!((id, self.delivered), (Some(id), Some(last)) if id <= last) {
             return;
         }
         self.last = id.or(self.last);
         events.bytes.extend_from_slice(event);
         events.count += 1;
     }
-
-    /// Passes on the buffer but for a short line at its end, which may hold the event's id or the
-    /// beginning of its end.
-    fn pass_on_part(&mut self, events: &mut Events) {
-        let line_end = self.buffer.iter().rposition(|byte| *byte == b'\n');
-        let line_end = line_end.filter(|at| self.buffer.len() - at <= MAX_ID_LINE_BYTES);
-        let kept = self.buffer.split_off(line_end.unwrap_or(self.buffer.len()));
-        let part = std::mem::replace(&mut self.buffer, kept);
-        self.scanned = 0;
-        let id = self.begun.unwrap_or_default().id_with(&part);
-        let is_repeated = self
-            .begun
-            .map_or(self.is_repeated(id), |begun| begun.is_repeated);
-        if !is_repeated {
-            events.bytes.extend_from_slice(&part);
-        }
-        self.begun = Some(Begun {
-            id,
-            is_repeated,
-            is_within_line: true,
-        });
-    }
-
-    fn is_repeated(&self, id: Option<EventId>) -> bool {
-        matches!((id, self.delivered), (Some(id), Some(last)) if id <= last)
-    }
-}
-
-impl Begun {
-    /// Returns the event's id, given its next part.
-    fn id_with(self, part: &[u8]) -> Option<EventId> {
-        let line_end = part.iter().position(|byte| *byte == b'\n');
-        let lines = match line_end {
-            Some(at) if self.is_within_line => &part[at..],
-            None if self.is_within_line => &[],
-            _ => part,
-        };
-        self.id.or_else(|| event_id(lines))
-    }
 }
 
 /// Returns the offset after the first event whose end is found from `from` on.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -7,6 +7,7 @@
 use auburnline_core::id::GroupId;
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::event::EventId;
+use auburnline_gateway::event::MAX_EVENT_BYTES;
 use auburnline_gateway::event::Splitter;
 use auburnline_gateway::pace::Group;
 use auburnline_gateway::quarantine::part::Stage;
@@ -21,6 +22,7 @@
 use metrics::histogram;
 use tokio::time::timeout;
 
+use crate::buffer::Buffer;
 use crate::exchange::Exchange;
 use crate::exchange::Sent;
 use crate::flight::Flight;
@@ -29,6 +31,10 @@
 use crate::head::Broken;
 use crate::telemetry::Timing;
 
+/// Maximum bytes that are read after the deadline: what came in time and waits in the socket is passed on, while bytes that are
+/// always ready would never time out.
+const MAX_LATE_BYTES: usize = 256 << 10;
+
 /// A stream being passed on to a caller.
 struct Transfer {
     exchange: Exchange,
@@ -37,6 +43,10 @@
     body: Option<Incoming>,
     flight: Flight,
     splitter: Splitter,
+    /// Memory of the event that has not ended.
+    buffer: Buffer,
+    /// Bytes received after the deadline.
+    late_bytes: usize,
     timing: Timing,
     /// Events of the latest attempt.
     run_events: u64,
@@ -88,12 +98,15 @@
 
 impl Transfer {
     fn new(exchange: Exchange, reply: Reply, flight: Flight, after: Option<EventId>) -> Transfer {
+        let buffer = exchange.shared.answers.buffer();
         Transfer {
             exchange,
             is_success: reply.status.is_success(),
             body: Some(reply.body),
             flight,
             splitter: Splitter::after(after),
+            buffer,
+            late_bytes: 0,
             timing: Timing::default(),
             run_events: 0,
             last_at: None,
@@ -142,6 +155,15 @@
 
     async fn next(&mut self) -> Next {
         loop {
+            if self.late_bytes > MAX_LATE_BYTES {
+                return Next::Break("request deadline exceeded");
+            }
+            if self.splitter.buffered() > MAX_EVENT_BYTES {
+                return Next::Break("event exceeds its size limit");
+            }
+            if !self.buffer.resize(self.splitter.buffered()) {
+                return Next::Break("no memory for an event that has not ended");
+            }
             let left = self.exchange.time_left();
             let since = self.last_at.unwrap_or_default().max(self.flight.began());
             let Some(body) = &mut self.body else {
@@ -149,10 +171,10 @@
             };
             let part = tokio::select! {
                 part = timeout(left, body.next()) => part,
-                () = self.exchange.straggler_detected(self.flight.target(), self.exchange.sends), if !self.splitter.is_within_event() => {
+                () = self.exchange.straggler_detected(self.flight.target(), self.exchange.sends) => {
                     return Next::Slow("rank became a straggler; resuming at another rank");
                 }
-                () = self.exchange.silence_detected(self.flight.target(), since, self.exchange.sends), if !self.splitter.is_within_event() => {
+                () = self.exchange.silence_detected(self.flight.target(), since, self.exchange.sends) => {
                     self.flight.failed();
                     return Next::Slow("rank shows nothing while its group goes on; resuming at another rank");
                 }
@@ -163,6 +185,9 @@
                 Ok(None) => return self.ended().await,
                 Err(_) => return Next::Break("request deadline exceeded"),
             };
+            if left.is_zero() {
+                self.late_bytes += part.len();
+            }
             let events = self.splitter.push(&part);
             if events.count > 0 {
                 self.observe();
@@ -251,9 +276,7 @@
 
     /// Resumes the stream at another upstream after a failure; returns whether that succeeded.
     async fn resume(&mut self) -> bool {
-        !self.splitter.is_within_event()
-            && self.exchange.may_rerun("interrupted")
-            && self.resume_within(None).await
+        self.exchange.may_rerun("interrupted") && self.resume_within(None).await
     }
 
     /// Sends the request again for the events after the last whole one; returns whether a successful response began.
