A gateway takes its fleet for no smaller than the seeds that it reached allow

What callers and upstreams saw: retries beyond the budget while the seeds were away, and cold upstreams with more requests than they bear. Cause: a share of what the fleet shares was divided by the largest fleet that a gateway had seen, known after 1.6 s whoever had answered. One that started while it could reach nobody took the whole. The class: a number of others is taken for known because time has passed, though nobody answered. Now what is seen counts for as much as the part of the seeds that was reached. Groups that can't reach each other reach different seeds, so their parts add up to no more than one. A gateway that knows the whole size tells the others (FleetSize, a new message, last in its packet so that older programs read the rest), and one that nobody tells listens for a window of the budget first. The same cause elsewhere: the rates of cold upstreams and the loans of limits divided by the same number and use the new size (no listening, but no share without a seed); the home of a limit kept the largest fleet that any lender had ever named and takes those of the present loans now. Demand and shares of a group divide by the gateways alive, on purpose: nothing is promised there.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -224,7 +224,7 @@
         // Drops full accounts, so that these start again with the reserve if it grows now.
         self.budget.tick(now);
         let instance = &self.roster.own_entry().instance;
-        let fleet = self.roster.fleet_size(now);
+        let fleet = self.budget_members(now);
         self.budget
             .set_settings(retry_budget::settings(instance, &self.bounds, fleet));
         self.backoffs.forget(now);
@@ -233,6 +233,19 @@
         self.forget_warm(now);
     }
 
+    /// Returns the number of gateways that share the retry budget; `None` while it is unknown. A gateway that nobody tells waits
+    /// for the window of the budget, after which what others or its own predecessor took does not count any more.
+    #[must_use]
+    pub fn budget_members(&self, now: Monotonic) -> Option<usize> {
+        self.roster.fleet_size(self.bounds.retry_window, now)
+    }
+
+    /// Returns the size of the whole fleet to tell other gateways; `None` while this one does not know it.
+    #[must_use]
+    pub fn known_size(&self, now: Monotonic) -> Option<u32> {
+        self.roster.known_size(self.bounds.retry_window, now)
+    }
+
     /// Returns whether this gateway has a configuration and knows that it is current enough to
     /// serve.
     #[must_use]
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -225,7 +225,10 @@
             return Vec::new();
         }
         let lender = stable(0, self.roster.own_entry().instance.as_bytes());
-        let fleet = u32::try_from(self.roster.peak_members()).unwrap_or(u32::MAX);
+        let Some(fleet) = self.roster.fleet_size(Duration::ZERO, now) else {
+            return Vec::new();
+        };
+        let fleet = u32::try_from(fleet).unwrap_or(u32::MAX);
         for notice in self.limits.registry.in_force(now) {
             let home = self.roster.home(&home_key(notice.upstream), now);
             let heartbeat = Heartbeat {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -114,4 +114,6 @@
     Forecasts(Vec<forecast::Record>),
     /// Parts of prompts that were there when an upstream crashed.
     Parts(Vec<part::Mark>),
+    /// Number of members of the whole fleet, from a gateway that knows it.
+    FleetSize(u32),
 }
--- a/crates/gateway/src/neighbour.rs
+++ b/crates/gateway/src/neighbour.rs
@@ -11,6 +11,7 @@
 pub mod news;
 mod peer;
 pub mod reader;
+mod size;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -27,6 +28,7 @@
 
 use self::peer::Gaps;
 use self::peer::Peer;
+use self::size::Size;
 use crate::message::Entry;
 use crate::route::Version;
 
@@ -36,18 +38,6 @@
 /// Least time without news after which a gateway counts as failed: five heartbeats, since single
 /// ones get lost.
 pub const NEWS_TIMEOUT: Duration = Duration::from_millis(1_600);
-/// Time after its start from which a gateway estimates the size of its fleet: three heartbeats.
-const FIRST_SIZE_AFTER: Duration = Duration::from_millis(900);
-/// Gateways of which it has to know before [`NEWS_TIMEOUT`] for that: one that knows fewer may be cut
-/// off from the others.
-const MIN_KNOWN: usize = 8;
-/// Time without growth after which the known members count as the whole fleet.
-const STABLE_TIME: Duration = Duration::from_millis(900);
-/// Divisor that gives the growth, as a part of the known members, up to which they count as stable.
-const GROWTH_DIVISOR: usize = 20;
-/// Times the known members that a fleet may have while more of them become known. After a start of
-/// all gateways of a fleet of thousands that takes seconds.
-const UNKNOWN_FACTOR: usize = 3;
 /// Time without news up to which a gateway may be the home of a limit. It exceeds [`NEWS_TIMEOUT`]
 /// because in a fleet of hundreds the latest news of a live gateway may be older, and all gateways
 /// have to agree on the home. Those that lend to the home hear from it directly.
@@ -88,11 +78,7 @@
     gaps: Gaps,
     /// Own messages of others count as current only if they arrived after this time.
     ignored_until: Monotonic,
-    /// Highest number of members seen at once, including this gateway.
-    peak_members: usize,
-    /// That number when it last grew by more than a little, and when that was.
-    stable_members: usize,
-    grown_at: Monotonic,
+    size: Size,
 }
 
 impl Roster {
@@ -107,9 +93,7 @@
             tags: HashMap::new(),
             gaps: Gaps::default(),
             ignored_until: Monotonic::ZERO,
-            peak_members: 1,
-            stable_members: 1,
-            grown_at: Monotonic::ZERO,
+            size: Size::default(),
         }
     }
 
@@ -287,34 +271,6 @@
             .count()
     }
 
-    /// Returns the highest number of members seen at once. It is a safe divisor for shared
-    /// quantities, since an isolated gateway can't tell whether the others have failed.
-    #[must_use]
-    pub const fn peak_members(&self) -> usize {
-        self.peak_members
-    }
-
-    /// Returns a size that the fleet does not exceed in the mean over all gateways, to divide what it
-    /// shares; `None` while too few are known after the start.
-    #[must_use]
-    pub fn fleet_size(&self, now: Monotonic) -> Option<usize> {
-        let is_growing = now.saturating_sub(self.grown_at) < STABLE_TIME;
-        if is_growing && self.peak_members >= MIN_KNOWN {
-            (now > FIRST_SIZE_AFTER).then_some(self.peak_members * UNKNOWN_FACTOR)
-        } else {
-            (now > NEWS_TIMEOUT).then_some(self.peak_members)
-        }
-    }
-
-    /// Records a number of members seen at once.
-    fn record_members(&mut self, members: usize, now: Monotonic) {
-        self.peak_members = self.peak_members.max(members);
-        if self.peak_members > self.stable_members + self.stable_members / GROWTH_DIVISOR {
-            self.stable_members = self.peak_members;
-            self.grown_at = now;
-        }
-    }
-
     /// Returns the gateways that a caller in `domain` should use.
     #[must_use]
     pub fn offer(&self, domain: Option<&str>, seed: u64, now: Monotonic) -> Offer {
--- a/crates/gateway/src/neighbour/heartbeat.rs
+++ b/crates/gateway/src/neighbour/heartbeat.rs
@@ -39,6 +39,7 @@
     ) -> Heartbeat {
         self.own_entry.heartbeats += 1;
         self.forget_silent(now);
+        self.update_size(0, now);
         Heartbeat {
             others: self.relayed(now, rng),
             ..self.own_heartbeat(counts, now)
@@ -71,7 +72,7 @@
 
     /// Returns the last heartbeat with gossip about some others, for a gateway that started or came
     /// back.
-    pub(crate) fn join_reply(&self, now: Monotonic, rng: &mut impl Rng) -> Heartbeat {
+    pub fn join_reply(&self, now: Monotonic, rng: &mut impl Rng) -> Heartbeat {
         let relayed = self.live_peers(now).choose_multiple(rng, MAX_RELAYED);
         Heartbeat {
             others: relayed
--- a/crates/gateway/src/neighbour/merge.rs
+++ b/crates/gateway/src/neighbour/merge.rs
@@ -38,7 +38,7 @@
         // In a fleet of hundreds a single gateway knows only some of the members, and each knows
         // different ones.
         let reported = usize::try_from(heartbeat.members).unwrap_or(0);
-        self.record_members(self.members(now).max(reported), now);
+        self.update_size(reported, now);
         updates
     }
 
--- a/crates/gateway/src/neighbour/peer.rs
+++ b/crates/gateway/src/neighbour/peer.rs
@@ -25,7 +25,9 @@
     pub(super) state: u8,
     /// Number of its latest known heartbeat, which may be later than that of `entry`.
     pub(super) heartbeats: u64,
-    /// When news of that heartbeat arrived.
+    /// Number of the heartbeat that was the first known of its incarnation.
+    pub(super) first_heartbeats: u64,
+    /// When news of the latest one arrived.
     pub(super) heard: Monotonic,
     /// When its incarnation or the state in `entry` changed, as far as known here.
     pub(super) changed: Monotonic,
@@ -39,6 +41,7 @@
             tag: news::tag(&entry),
             state: news::state(&entry),
             heartbeats: entry.heartbeats,
+            first_heartbeats: entry.heartbeats,
             entry,
             heard,
             changed: heard,
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -1,8 +1,7 @@
 //! This gateway's share of the fleet's retry budget.
 //!
-//! The budget belongs to the whole fleet and nobody grants it: each gateway derives its share from
-//! the largest number of gateways that it ever saw live at once. That also holds during a network
-//! partition, since no side then takes more than before.
+//! The budget belongs to the whole fleet and nobody grants it: each gateway derives its share of the slack from the size of the
+//! fleet, and needs no other gateway for what its own requests add. While it does not know the size it has no slack.
 
 use std::time::Duration;
 
@@ -16,6 +15,10 @@
 /// Fraction of the fleet's retry slack that is available at once. The rest is refilled over the
 /// window, so that both together stay within the slack in each window.
 const RESERVE_FRACTION: f64 = 0.5;
+/// Time from the decision on a retry until it reaches its upstream, at most: connecting, on busy machines.
+const MAX_TRANSIT: Duration = Duration::from_secs(1);
+/// Retries that a gateway accumulates from its own requests while it does not know its share.
+const UNSHARED_RESERVE: u64 = 1;
 
 /// Least slack to refill over the window, in retries, so that the refill time of one retry stays
 /// finite: below a hundredth of a retry per window, practically none is refilled.
@@ -24,14 +27,21 @@
 /// Returns the settings of a gateway's share of the fleet's retry budget; without slack while the
 /// fleet's size is unknown.
 pub(crate) fn settings(instance: &str, bounds: &Bounds, fleet: Option<usize>) -> budget::Settings {
-    let of_fleet = |amount| fleet.map_or(0, |fleet| share::of(amount, fleet, instance, SHARE_KEY));
-    let members = u32::try_from(fleet.unwrap_or(usize::MAX).max(1)).unwrap_or(u32::MAX);
-    let refilled = bounds.retry_slack * (1.0 - RESERVE_FRACTION) / f64::from(members);
-    let refill = bounds.retry_window.as_secs_f64() / refilled.max(MIN_REFILL);
+    // Retries that are decided on over a longer time arrive within one window.
+    let span = bounds.retry_window + MAX_TRANSIT;
+    let part = bounds.retry_window.div_duration_f64(span);
+    let refilled = fleet.map_or(0.0, |fleet| {
+        let members = u32::try_from(fleet.max(1)).unwrap_or(u32::MAX);
+        bounds.retry_slack * (1.0 - RESERVE_FRACTION) / f64::from(members)
+    });
+    let reserve = fleet.map_or(UNSHARED_RESERVE, |fleet| {
+        let reserve = bounds.retry_slack * RESERVE_FRACTION;
+        share::of(reserve, fleet, instance, SHARE_KEY)
+    });
     budget::Settings {
-        deposit_millitokens: thousandths(bounds.retry_ratio),
-        reserve: of_fleet(bounds.retry_slack * RESERVE_FRACTION),
-        refill: Duration::from_secs_f64(refill),
+        deposit_millitokens: thousandths(bounds.retry_ratio * part),
+        reserve,
+        refill: Duration::from_secs_f64(span.as_secs_f64() / refilled.max(MIN_REFILL)),
     }
 }
 
--- a/crates/gateway/src/warm_up.rs
+++ b/crates/gateway/src/warm_up.rs
@@ -1,8 +1,8 @@
 //! Upstreams that are cold: for some time they bear few requests per second from the whole fleet.
 //!
 //! All gateways learn of a cold upstream from its entry, and each derives its own share of the rate
-//! without asking another one, from the largest number of gateways that it ever saw live at once. So
-//! a fleet which falls apart sends no more than a whole one.
+//! from the size of the fleet, without asking another one. So a fleet which falls apart sends no more
+//! than a whole one.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -121,11 +121,12 @@
     /// Returns how many requests per window this gateway may send to an upstream that bears `rate`
     /// from all gateways together.
     fn warm_up_share(&self, rate: f64, upstream: &Upstream, now: Monotonic) -> usize {
-        if now < FLEET_UNKNOWN_TIME {
+        let fleet = self.roster.fleet_size(Duration::ZERO, now);
+        let Some(fleet) = fleet.filter(|_| now >= FLEET_UNKNOWN_TIME) else {
             return 0;
-        }
+        };
         let instance = &self.roster.own_entry().instance;
-        let share = share::of(rate, self.roster.peak_members(), instance, &upstream.id);
+        let share = share::of(rate, fleet, instance, &upstream.id);
         usize::try_from(share).unwrap_or(usize::MAX)
     }
 }
--- a/crates/gateway/tests/all/fleet/mod.rs
+++ b/crates/gateway/tests/all/fleet/mod.rs
@@ -51,6 +51,7 @@
 enum Message {
     Heartbeat(Heartbeat),
     JoinReply(Heartbeat),
+    FleetSize(u32),
     Limits(Vec<Notice>),
     Loan(Loan),
     Ask(home::Request),
--- a/crates/gateway/tests/all/fleet/world.rs
+++ b/crates/gateway/tests/all/fleet/world.rs
@@ -214,10 +214,14 @@
             .roster
             .next_heartbeat(Vec::new(), local, &mut rng);
         let targets = node.gateway.roster.targets(local, &mut rng);
+        let size = node.gateway.known_size(local);
         let notices = node.gateway.heartbeat_limits(local);
         let loans = node.gateway.loans(local);
         for target in targets {
             self.send(number, target, Message::Heartbeat(heartbeat.clone()), now);
+            if let Some(size) = size {
+                self.send(number, target, Message::FleetSize(size), now);
+            }
             if !notices.is_empty() {
                 self.send(number, target, Message::Limits(notices.clone()), now);
             }
@@ -245,6 +249,7 @@
             Message::JoinReply(heartbeat) => {
                 gateway.roster.receive(&heartbeat, local);
             }
+            Message::FleetSize(size) => gateway.roster.receive_size(size, local),
             Message::Limits(notices) => {
                 gateway.receive_limits(&notices, peers(from), local);
             }
--- a/crates/quota/src/home.rs
+++ b/crates/quota/src/home.rs
@@ -54,11 +54,18 @@
     pub permit: Permit,
 }
 
+/// A lender's part of a limit.
+#[derive(Clone, Copy, Debug, Default)]
+struct Share {
+    until: Monotonic,
+    /// Number of gateways by which the lender divides the limit.
+    fleet: u32,
+}
+
 /// Token bucket of one limit.
 #[derive(Clone, Debug, Default)]
 struct TokenBucket {
-    /// When the share of each lender expires.
-    shares: HashMap<LenderTag, Monotonic>,
+    shares: HashMap<LenderTag, Share>,
     /// Requests that may be permitted immediately.
     tokens: f64,
     /// When tokens were last added.
@@ -67,21 +74,28 @@
 
 impl TokenBucket {
     /// Drops expired shares and adds the tokens that the remaining ones cover since the last call.
-    fn refill(&mut self, rate: Rate, fleet: u32, now: Monotonic) {
-        self.shares.retain(|_, until| now < *until);
+    fn refill(&mut self, rate: Rate, now: Monotonic) {
+        self.shares.retain(|_, share| now < share.until);
         let elapsed = now.saturating_sub(self.refilled_at);
         self.refilled_at = now;
         let capacity = (rate * BURST_WINDOW.as_secs_f64()).max(1.0);
-        let tokens = self.tokens + elapsed.as_secs_f64() * self.refill_rate(rate, fleet);
+        let tokens = self.tokens + elapsed.as_secs_f64() * self.refill_rate(rate);
         self.tokens = tokens.min(capacity);
     }
 
     /// Returns the requests per second that the shares cover.
-    fn refill_rate(&self, rate: Rate, fleet: u32) -> f64 {
+    fn refill_rate(&self, rate: Rate) -> f64 {
+        let fleet = self.fleet();
         let shares = u32::try_from(self.shares.len()).unwrap_or(u32::MAX);
         rate * f64::from(shares) / f64::from(fleet.max(shares).max(1))
     }
 
+    /// Returns the largest fleet of which any lender has a share.
+    fn fleet(&self) -> u32 {
+        let fleets = self.shares.values().map(|share| share.fleet);
+        fleets.max().unwrap_or(0)
+    }
+
     fn permit(&mut self, refill_rate: f64) -> Permit {
         if self.tokens >= 1.0 {
             self.tokens -= 1.0;
@@ -103,8 +117,6 @@
     buckets: BTreeMap<UpstreamTag, TokenBucket>,
     /// This gateway's heartbeats within the last [`LEASE`], oldest first, with the time each was sent.
     heartbeats: VecDeque<(u64, Monotonic)>,
-    /// Largest number of gateways that any lender has seen live at the same time.
-    fleet: u32,
 }
 
 impl Home {
@@ -117,7 +129,7 @@
             self.heartbeats.pop_front();
         }
         self.buckets
-            .retain(|_, bucket| bucket.shares.values().any(|until| now < *until));
+            .retain(|_, bucket| bucket.shares.values().any(|share| now < share.until));
     }
 
     /// Records the shares that a gateway lends, of limits whose rates `rate` returns. A loan based on a heartbeat older than
@@ -128,7 +140,6 @@
         rate: impl Fn(UpstreamTag) -> Option<Rate>,
         now: Monotonic,
     ) {
-        self.fleet = self.fleet.max(loan.fleet);
         let mut heartbeats = self.heartbeats.iter();
         let Some((_, sent)) = heartbeats.find(|(heartbeat, _)| *heartbeat == loan.heartbeat) else {
             return;
@@ -139,9 +150,10 @@
                 continue;
             };
             let bucket = self.buckets.entry(notice.upstream).or_default();
-            bucket.refill(rate, self.fleet, now);
+            bucket.refill(rate, now);
             let share = bucket.shares.entry(loan.lender).or_default();
-            *share = until.max(*share);
+            share.until = until.max(share.until);
+            share.fleet = loan.fleet;
         }
     }
 
@@ -151,8 +163,8 @@
             let retry_ms = u32::try_from(NO_SHARES_RETRY.as_millis()).unwrap_or(u32::MAX);
             return Permit::Denied { retry_ms };
         };
-        bucket.refill(rate, self.fleet, now);
-        let refill_rate = bucket.refill_rate(rate, self.fleet);
+        bucket.refill(rate, now);
+        let refill_rate = bucket.refill_rate(rate);
         bucket.permit(refill_rate)
     }
 
@@ -160,6 +172,6 @@
     #[must_use]
     pub fn shares(&self, upstream: UpstreamTag) -> (usize, u32) {
         let bucket = self.buckets.get(&upstream);
-        (bucket.map_or(0, |bucket| bucket.shares.len()), self.fleet)
+        bucket.map_or((0, 0), |bucket| (bucket.shares.len(), bucket.fleet()))
     }
 }
--- a/crates/quota/src/loan.rs
+++ b/crates/quota/src/loan.rs
@@ -43,7 +43,7 @@
 pub struct Loan {
     /// Gateway whose shares these are.
     pub lender: LenderTag,
-    /// Largest number of gateways that the lender has seen live at the same time.
+    /// Number of gateways by which the lender divides the limits.
     pub fleet: u32,
     /// Incarnation of the home that the loan is meant for; another one ignores the shares.
     pub incarnation: Incarnation,
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -101,6 +101,7 @@
     messages.extend(demand::tell(shared, now));
     messages.extend(forecast::message(shared, now));
     messages.extend(crash::messages(shared, now));
+    messages.extend(shared.gateway().known_size(now).map(Datagram::FleetSize));
     shared.send_all(&messages, &targets);
     limit::lend(shared);
     ask_settled(shared, now, rng);
@@ -273,6 +274,7 @@
         }
         Datagram::Forecasts(records) => forecast::merge(shared, &records),
         Datagram::Parts(marks) => crash::merge_parts(shared, &marks),
+        Datagram::FleetSize(size) => shared.gateway().roster.receive_size(size, shared.now()),
     }
 }
 
@@ -321,8 +323,12 @@
     let heartbeat = gateway.join_reply(now, &mut SmallRng::from_os_rng());
     let reports = gateway.groups.recent_reports(now).cloned();
     let reports: Vec<Datagram> = reports.map(Datagram::Group).collect();
+    let size = gateway.known_size(now).map(Datagram::FleetSize);
     drop(gateway);
-    shared.send(&Datagram::JoinReply(heartbeat), to);
+    let replies: Vec<Datagram> = std::iter::once(Datagram::JoinReply(heartbeat))
+        .chain(size)
+        .collect();
+    shared.send_all(&replies, &[to]);
     for report in reports {
         shared.send(&report, to);
     }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -274,7 +274,7 @@
     /// Exports the number of gateways that share the retry budget, 0 while it is unknown, and logs a change.
     pub(crate) fn export_budget(&self) {
         let gateway = self.gateway();
-        let members = gateway.roster.fleet_size(self.now());
+        let members = gateway.budget_members(self.now());
         let live = gateway.roster.live(self.now());
         drop(gateway);
         if self.budget_members.replace(members) != members {
