A restart renews no reserve of retries

What upstreams saw: each restart of a gateway brought its whole reserve of retries again, so windows with restarts in series exceeded the budget. Cause: an account starts full, as if nothing had been spent before. Accounts now gain from the start of the process what is refilled, and get the reserve after one window, in which nothing of an earlier process counts any more. Entries, the product's own interface, still start with full accounts (open).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -149,11 +149,10 @@
             queues: HashMap::new(),
             last_ticket: 0,
             groups: Groups::default(),
-            budget: Budget::new(retry_budget::settings(
-                &roster.own_entry().instance,
-                &bounds,
-                None,
-            )),
+            budget: Budget::with_reserve_at(
+                retry_budget::settings(&roster.own_entry().instance, &bounds, None),
+                bounds.retry_window,
+            ),
             rng: ChaCha8Rng::seed_from_u64(seed),
             pool: Pool::default(),
             roster,
--- a/crates/retries/src/budget.rs
+++ b/crates/retries/src/budget.rs
@@ -19,7 +19,7 @@
 pub struct Settings {
     /// Deposit of each first attempt, in thousandths of a retry.
     pub deposit_millitokens: u64,
-    /// Retries that a new budget allows, and the most that a budget accumulates.
+    /// The most retries that a budget accumulates.
     pub reserve: u64,
     /// Time in which a budget gains one retry without first attempts.
     pub refill: Duration,
@@ -53,15 +53,17 @@
 struct Account {
     millitokens: u64,
     refilled_at: Monotonic,
+    /// Whether it got its reserve.
+    has_reserve: bool,
 }
 
 impl Account {
-    fn new(settings: &Settings, now: Monotonic) -> Self {
-        Account {
-            millitokens: settings.reserve * MILLITOKENS_PER_TOKEN,
-            refilled_at: now,
-        }
-    }
+    /// Returns an account that has what it would have gained since the start of the process, without the reserve.
+    const EMPTY: Account = Account {
+        millitokens: 0,
+        refilled_at: Monotonic::ZERO,
+        has_reserve: false,
+    };
 
     fn refill(&mut self, settings: &Settings, now: Monotonic) {
         let elapsed =
@@ -75,6 +77,13 @@
         }
     }
 
+    fn add_reserve(&mut self, settings: &Settings) {
+        if !self.has_reserve {
+            self.has_reserve = true;
+            self.add(settings, settings.reserve * MILLITOKENS_PER_TOKEN);
+        }
+    }
+
     fn add(&mut self, settings: &Settings, amount: u64) {
         self.millitokens = self.millitokens.saturating_add(amount);
         self.millitokens = self
@@ -87,6 +96,8 @@
 #[derive(Clone, Debug)]
 pub struct Budget<U, W> {
     settings: Settings,
+    /// When accounts get their reserve.
+    reserve_at: Monotonic,
     upstreams: BTreeMap<U, Account>,
     workspaces: BTreeMap<W, Account>,
 }
@@ -97,11 +108,22 @@
     pub fn new(settings: Settings) -> Self {
         Budget {
             settings,
+            reserve_at: Monotonic::ZERO,
             upstreams: BTreeMap::new(),
             workspaces: BTreeMap::new(),
         }
     }
 
+    /// Creates budgets that get their reserve this long after the start of the process, so that a restart does not renew what was
+    /// spent before it.
+    #[must_use]
+    pub fn with_reserve_at(settings: Settings, reserve_at: Monotonic) -> Self {
+        Budget {
+            reserve_at,
+            ..Budget::new(settings)
+        }
+    }
+
     /// Replaces the settings. A balance above a smaller reserve is cut at the next deposit or
     /// refill.
     pub fn set_settings(&mut self, settings: Settings) {
@@ -111,10 +133,22 @@
     /// Deposits into both budgets for a first attempt.
     pub fn deposit(&mut self, now: Monotonic, upstream: &U, workspace: &W) {
         let settings = self.settings;
-        if let Some(account) = account(&mut self.upstreams, &settings, now, upstream) {
+        if let Some(account) = account(
+            &mut self.upstreams,
+            &settings,
+            self.reserve_at,
+            now,
+            upstream,
+        ) {
             account.add(&settings, settings.deposit_millitokens);
         }
-        if let Some(account) = account(&mut self.workspaces, &settings, now, workspace) {
+        if let Some(account) = account(
+            &mut self.workspaces,
+            &settings,
+            self.reserve_at,
+            now,
+            workspace,
+        ) {
             account.add(&settings, settings.deposit_millitokens);
         }
     }
@@ -131,10 +165,22 @@
         workspace: &W,
     ) -> Result<Permit, Side> {
         let settings = self.settings;
-        let upstream = account(&mut self.upstreams, &settings, now, upstream);
+        let upstream = account(
+            &mut self.upstreams,
+            &settings,
+            self.reserve_at,
+            now,
+            upstream,
+        );
         let upstream = upstream.filter(|account| account.millitokens >= MILLITOKENS_PER_TOKEN);
         let upstream = upstream.ok_or(Side::Upstream)?;
-        let workspace = account(&mut self.workspaces, &settings, now, workspace);
+        let workspace = account(
+            &mut self.workspaces,
+            &settings,
+            self.reserve_at,
+            now,
+            workspace,
+        );
         let workspace = workspace.filter(|account| account.millitokens >= MILLITOKENS_PER_TOKEN);
         let workspace = workspace.ok_or(Side::Workspace)?;
         upstream.millitokens -= MILLITOKENS_PER_TOKEN;
@@ -142,12 +188,13 @@
         Ok(Permit(()))
     }
 
-    /// Drops budgets that are full, since a new one equals them; to be called every few seconds.
+    /// Drops budgets that are full, since a new one equals them once the reserve is there; to be called every few seconds.
     pub fn tick(&mut self, now: Monotonic) {
         let settings = self.settings;
+        let has_reserve = now >= self.reserve_at;
         let is_used = |account: &mut Account| {
             account.refill(&settings, now);
-            account.millitokens < settings.reserve * MILLITOKENS_PER_TOKEN
+            !has_reserve || account.millitokens < settings.reserve * MILLITOKENS_PER_TOKEN
         };
         self.upstreams.retain(|_, account| is_used(account));
         self.workspaces.retain(|_, account| is_used(account));
@@ -160,11 +207,12 @@
     }
 }
 
-/// Returns the refilled account of `key`, creating it if necessary, or `None` at [`MAX_BUDGETS`]:
+/// Returns the refilled account of `key`, created if necessary, or `None` at [`MAX_BUDGETS`]:
 /// without a budget there are no retries.
 fn account<'a, K: Ord + Clone>(
     accounts: &'a mut BTreeMap<K, Account>,
     settings: &Settings,
+    reserve_at: Monotonic,
     now: Monotonic,
     key: &K,
 ) -> Option<&'a mut Account> {
@@ -172,9 +220,12 @@
         if accounts.len() >= MAX_BUDGETS {
             return None;
         }
-        accounts.insert(key.clone(), Account::new(settings, now));
+        accounts.insert(key.clone(), Account::EMPTY);
     }
     let account = accounts.get_mut(key)?;
     account.refill(settings, now);
+    if now >= reserve_at {
+        account.add_reserve(settings);
+    }
     Some(account)
 }
