A safe request is sent again only where answers usually take far less time

What callers saw: safe requests that take more than half of their time were never served: cut off at a sound upstream, sent again, and out of time there. Cause: the first attempt got half of the time left whatever answers take. Such retries also spent the budget that failures need. A gateway keeps the longest recent answer of each route, and gives an attempt up early only where half of the time left is twice that.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::backoff::Backoffs;
 pub use crate::bounds::Bounds;
 use crate::demand::Demand;
+use crate::duration::Durations;
 use crate::freshness::Freshness;
 use crate::group::Groups;
 use crate::limit::Limits;
@@ -89,6 +90,8 @@
     pub(crate) all_unavailable_at: HashMap<ServiceId, Monotonic>,
     pub(crate) budget: Budget<ServiceId, ServiceId>,
     pub(crate) rng: ChaCha8Rng,
+    /// How long the answers of each route take.
+    pub(crate) durations: Durations,
     /// Requests that wait for capacity, by service.
     pub(crate) queues: HashMap<ServiceId, Queue>,
     /// Ticket of the newest request.
@@ -146,6 +149,7 @@
             paces: HashMap::new(),
             allowances: HashMap::new(),
             all_unavailable_at: HashMap::new(),
+            durations: Durations::default(),
             queues: HashMap::new(),
             last_ticket: 0,
             groups: Groups::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod comeback;
 pub mod demand;
 mod departure;
+mod duration;
 pub mod evacuation;
 pub mod event;
 pub mod forecast;
--- a/crates/gateway/tests/all/gateway.rs
+++ b/crates/gateway/tests/all/gateway.rs
@@ -493,3 +493,33 @@
     let admitted = admit_full(&mut gateway, 5, &plain);
     expect_that!(admitted, matches_pattern!(Admission::Wait(anything())));
 }
+
+/// Guards against an attempt that is given up although its route's answers take as long, and against one that is kept where they
+/// take far less.
+#[gtest]
+fn an_attempt_is_overdue_only_where_answers_take_far_less() {
+    let mut gateway = gateway(1);
+    let plan = ask(&mut gateway, "/desk/cover/", Some("key-1"), 1_000).expect("a plan");
+    let half = millis(750);
+    expect_that!(
+        gateway.is_overdue_after(&plan, half, millis(1_000)),
+        eq(false)
+    );
+    for now in [1_100, 1_200] {
+        gateway.record_duration(&plan, millis(20), millis(now));
+    }
+    expect_that!(
+        gateway.is_overdue_after(&plan, half, millis(1_200)),
+        eq(true)
+    );
+    gateway.record_duration(&plan, millis(900), millis(1_300));
+    gateway.record_duration(&plan, millis(20), millis(1_400));
+    expect_that!(
+        gateway.is_overdue_after(&plan, half, millis(5_000)),
+        eq(false)
+    );
+    expect_that!(
+        gateway.is_overdue_after(&plan, half, millis(60_000)),
+        eq(true)
+    );
+}
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -18,8 +18,8 @@
 
 /// Maximum size of a buffered response body.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
-/// Fraction of the remaining time given to an attempt that may be followed by another one, so that
-/// an upstream that hangs leaves the other half for a retry.
+/// Fraction of the remaining time given to an attempt that may be followed by another one, where
+/// answers usually take less, so that an upstream that hangs leaves the other half for a retry.
 const RETRYABLE_TIMEOUT_FRACTION: f64 = 0.5;
 
 /// Handles a request to a service that does not stream.
@@ -53,6 +53,7 @@
                     }
                 } else {
                     flight.answered();
+                    exchange.record_duration(&flight);
                     exchange.clear_suspicion(reply.status.is_success());
                 }
                 exchange.log_answer(reply.status.as_u16(), &Timing::default());
@@ -69,10 +70,13 @@
 /// Returns the time limit of the next attempt.
 fn attempt_timeout(exchange: &Exchange) -> Duration {
     let left = exchange.time_left();
-    let is_last = exchange.sends + 1 >= exchange.plan.route.max_attempts;
-    if exchange.plan.route.kind == Kind::Safe && !is_last {
-        left.mul_f64(RETRYABLE_TIMEOUT_FRACTION)
-    } else {
-        left
+    let plan = &exchange.plan;
+    let is_last = exchange.sends + 1 >= plan.route.max_attempts;
+    if plan.route.kind != Kind::Safe || is_last {
+        return left;
     }
+    let part = left.mul_f64(RETRYABLE_TIMEOUT_FRACTION);
+    let now = exchange.shared.now();
+    let is_overdue = exchange.shared.gateway().is_overdue_after(plan, part, now);
+    if is_overdue { part } else { left }
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -335,6 +335,13 @@
         Sent::Failed { may_retry }
     }
 
+    /// Records how long an upstream took for its answer.
+    pub(crate) fn record_duration(&self, flight: &Flight) {
+        let now = self.shared.now();
+        let took = now.saturating_sub(flight.began());
+        self.shared.gateway().record_duration(&self.plan, took, now);
+    }
+
     /// Waits until the request is admitted, for its first attempt or for another one.
     pub(crate) async fn wait_for_admission(&self) -> Result<(), Refusal> {
         admission::wait(&self.shared, &self.plan, &self.arrival.call).await
