A stream leaves its slow rank only once another one has begun it

What callers saw: streams at slow but sound ranks broke off. Cause: a move dropped the response at the old rank before it asked for another one, and ended the stream where none took it: full, held, or without a permit. The old response is kept until the new one has begun, for which there is 1 s, and the stream stays for good where no other rank takes it. A silent rank is waited for in the same way: its silence is no reason to end a stream sooner.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -4,6 +4,8 @@
 //! another attempt can resume after the last whole one. A stream that cannot be resumed is aborted
 //! towards the caller too, so that it never looks complete.
 
+use std::time::Duration;
+
 use auburnline_core::id::GroupId;
 use auburnline_core::time::Monotonic;
 use auburnline_gateway::event::EventId;
@@ -31,6 +33,8 @@
 use crate::head::Broken;
 use crate::telemetry::Timing;
 
+/// Time for another rank to begin a stream that leaves its own, which is not read meanwhile: half of what callers bear.
+const MIGRATION_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum bytes that are read after the deadline: what came in time and waits in the socket is passed on, while bytes that are
 /// always ready would never time out.
 const MAX_LATE_BYTES: usize = 256 << 10;
@@ -39,8 +43,8 @@
 struct Transfer {
     exchange: Exchange,
     is_success: bool,
-    /// Response body of the latest attempt; `None` while the stream migrates.
-    body: Option<Incoming>,
+    /// Response body of the latest attempt that began.
+    body: Incoming,
     flight: Flight,
     splitter: Splitter,
     /// Memory of the event that has not ended.
@@ -51,6 +55,8 @@
     /// Events of the latest attempt.
     run_events: u64,
     last_at: Option<Monotonic>,
+    /// Whether no other rank took the stream, so that it stays where it is.
+    is_settled: bool,
     is_over: bool,
 }
 
@@ -102,7 +108,7 @@
         Transfer {
             exchange,
             is_success: reply.status.is_success(),
-            body: Some(reply.body),
+            body: reply.body,
             flight,
             splitter: Splitter::after(after),
             buffer,
@@ -110,6 +116,7 @@
             timing: Timing::default(),
             run_events: 0,
             last_at: None,
+            is_settled: false,
             is_over: false,
         }
     }
@@ -129,13 +136,7 @@
             match self.next().await {
                 Next::Events(bytes) => return Some(Ok(Frame::data(bytes))),
                 Next::End => return self.end(),
-                Next::Slow(cause) => {
-                    if !self.migrate(cause).await {
-                        self.is_over = true;
-                        self.log("broken");
-                        return Some(Err(Broken("no rank could resume the stream")));
-                    }
-                }
+                Next::Slow(cause) => self.migrate(cause).await,
                 Next::Break(cause) => {
                     self.flight.failed();
                     self.exchange.log_failure(cause, &self.flight);
@@ -166,15 +167,12 @@
             }
             let left = self.exchange.time_left();
             let since = self.last_at.unwrap_or_default().max(self.flight.began());
-            let Some(body) = &mut self.body else {
-                return Next::Break("no upstream could resume the stream");
-            };
             let part = tokio::select! {
-                part = timeout(left, body.next()) => part,
-                () = self.exchange.straggler_detected(self.flight.target(), self.exchange.sends) => {
+                part = timeout(left, self.body.next()) => part,
+                () = self.exchange.straggler_detected(self.flight.target(), self.exchange.sends), if !self.is_settled => {
                     return Next::Slow("rank became a straggler; resuming at another rank");
                 }
-                () = self.exchange.silence_detected(self.flight.target(), since, self.exchange.sends) => {
+                () = self.exchange.silence_detected(self.flight.target(), since, self.exchange.sends), if !self.is_settled => {
                     self.flight.failed();
                     return Next::Slow("rank shows nothing while its group goes on; resuming at another rank");
                 }
@@ -203,8 +201,7 @@
     /// Returns whether a response whose connection has ended is complete. Without a length or chunks, the end of an upstream
     /// that crashed looks the same.
     async fn ended(&self) -> Next {
-        let is_delimited = self.body.as_ref().is_some_and(Incoming::is_delimited);
-        if is_delimited {
+        if self.body.is_delimited() {
             Next::End
         } else if self.splitter.has_partial_event() {
             Next::Break("stream ended within an event")
@@ -263,30 +260,34 @@
         (!rest.is_empty()).then(|| Ok(Frame::data(rest.into())))
     }
 
-    /// Migrates the stream to another rank of its group, so that the group no longer waits for the straggler; returns whether
-    /// that succeeded.
-    async fn migrate(&mut self, cause: &'static str) -> bool {
+    /// Migrates the stream to another rank of its group, so that the group no longer waits for the straggler. The stream leaves
+    /// its rank only once the other one has begun, and otherwise stays for good.
+    async fn migrate(&mut self, cause: &'static str) {
         let group = self.flight.group().clone();
         self.exchange.log_failure(cause, &self.flight);
-        counter!("auburnline_moved_streams_total").increment(1);
-        // Dropping the response cancels the request at the straggler, so that the group no longer waits for it.
-        self.body = None;
-        self.resume_within(Some(&group)).await
+        let time_limit = self.exchange.time_left().min(MIGRATION_TIMEOUT);
+        if self.resume_within(Some(&group), time_limit).await {
+            counter!("auburnline_moved_streams_total").increment(1);
+        } else {
+            self.is_settled = true;
+        }
     }
 
     /// Resumes the stream at another upstream after a failure; returns whether that succeeded.
     async fn resume(&mut self) -> bool {
-        self.exchange.may_rerun("interrupted") && self.resume_within(None).await
+        self.exchange.may_rerun("interrupted") && self.resume_within(None, Duration::MAX).await
     }
 
-    /// Sends the request again for the events after the last whole one; returns whether a successful response began.
-    async fn resume_within(&mut self, group: Option<&GroupId>) -> bool {
+    /// Sends the request again for the events after the last whole one; returns whether a successful response began, for which
+    /// each attempt has this time.
+    async fn resume_within(&mut self, group: Option<&GroupId>, time_limit: Duration) -> bool {
         let after = self.splitter.last();
         loop {
-            let time_limit = self.exchange.time_left();
+            let time_limit = self.exchange.time_left().min(time_limit);
             match self.exchange.send_within(group, after, time_limit).await {
                 Sent::Began(reply, flight) if reply.status.is_success() => {
-                    self.body = Some(reply.body);
+                    self.body = reply.body;
+                    self.is_settled = false;
                     self.flight = flight;
                     self.run_events = 0;
                     self.splitter = Splitter::after(after);
