A crash that shows only after an attempt was given up is charged to its request

Cause: evidence of a crash was looked for once, when an attempt ended. Attempts that end without an answer are now kept for 8 s and charged when a crash shows: to another request at the same start, by a second check 0.4 s later, or because another start is listed at the address of one that neither said that it leaves nor was removed 2 s before. An answer clears them, so that a slow request whose retry succeeds is charged with nothing.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -1,10 +1,12 @@
 //! Detection of upstream crashes, and quarantine of the requests and the parts of prompts that cause them.
 //!
 //! A broken connection alone does not indicate a crash, since responses are also lost on the network. An upstream that
-//! refuses connections right after it broke one is considered crashed.
+//! refuses connections right after it broke one is considered crashed. What shows only later is in [`crate::suspect`].
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use auburnline_core::error::Kind;
@@ -21,18 +23,25 @@
 use auburnline_gateway::quarantine::part::Stage;
 use auburnline_gateway::quarantine::start_tag;
 use auburnline_gateway::request::Refusal;
+use auburnline_gateway::upstream::Change;
+use auburnline_gateway::upstream::Upstream;
 use metrics::counter;
 use metrics::gauge;
 use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::exchange::Exchange;
 use crate::flight::Flight;
 use crate::shared::Shared;
+use crate::suspect::Attempt;
 use crate::telemetry::millis;
 
 /// Maximum time for an address to accept or refuse a connection; the caller's retry waits meanwhile.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time after the first check of an upstream until the second one.
+const SECOND_PROBE_AFTER: Duration = Duration::from_millis(400);
 /// Maximum number of gateways, including this one, that know of a newly quarantined request immediately; the others learn of it
 /// by gossip.
 const MAX_NOTIFIED: usize = 64;
@@ -106,43 +115,35 @@
     }
 
     /// Checks after a lost response whether the upstream has crashed, and if so records that this request was running there,
-    /// and how far its answer was.
+    /// and how far its answer was. Otherwise the upstream may crash under it later.
     pub(crate) async fn detect_crash(&self, flight: &Flight, stage: Stage) {
-        if !flight.has_crashed().await {
-            return;
-        }
-        let upstream = flight.target();
+        let has_crashed = flight.has_crashed().await;
         let now = self.shared.now();
-        let start = start_tag(upstream);
-        let request = self.fingerprint();
-        let mut gateway = self.shared.gateway();
-        let is_held = gateway.quarantine.crashed(request, start, now);
-        let held = gateway
-            .quarantine
-            .parts_crashed(self.parts(), start, stage, now);
-        drop(gateway);
-        log::info!(
-            target: "crashes",
-            request = self.id(),
-            fingerprint = request,
-            parts:? = hex(self.parts()),
-            stage:?,
-            upstream = &*upstream.id,
-            start = format!("{start:016x}").as_str(),
-            is_held;
-            "upstream crashed"
-        );
-        counter!("auburnline_crashes_total").increment(1);
-        log_newly_held(&self.shared, &held);
-        if is_held || !held.is_empty() {
-            notify_gateways(&self.shared);
+        let attempt = Attempt {
+            upstream: Arc::clone(flight.target()),
+            request: self.fingerprint(),
+            parts: self.parts().to_vec(),
+            stage,
+            given_up: now,
+        };
+        if !has_crashed {
+            self.shared.suspects.borrow_mut().add(attempt);
+            spawn_local(probe_again(
+                Rc::clone(&self.shared),
+                Arc::clone(flight.target()),
+            ));
+            return;
         }
+        let mut attempts = self.shared.suspects.borrow_mut().take(flight.target(), now);
+        attempts.push(attempt);
+        record_crash(&self.shared, &attempts);
     }
 
     /// Records that the request was answered, which ends its suspicion, and if `is_success` also that of the parts of its
     /// prompt.
     pub(crate) fn clear_suspicion(&self, is_success: bool) {
         let now = self.shared.now();
+        self.shared.suspects.borrow_mut().clear(self.fingerprint());
         let mut gateway = self.shared.gateway();
         if !gateway.quarantine.is_empty() {
             gateway.quarantine.answered(self.fingerprint(), now);
@@ -173,6 +174,74 @@
     }
 }
 
+/// Checks again whether an upstream has crashed, which may close its connections a moment before it stops listening. At most one
+/// check of an upstream waits at a time.
+async fn probe_again(shared: Rc<Shared>, upstream: Arc<Upstream>) {
+    let start = start_tag(&upstream);
+    if !shared.suspects.borrow_mut().begin_probe(start) {
+        return;
+    }
+    sleep(SECOND_PROBE_AFTER).await;
+    let has_crashed = refuses_connections(upstream.address).await;
+    let now = shared.now();
+    let mut suspects = shared.suspects.borrow_mut();
+    suspects.end_probe(start);
+    let attempts = if has_crashed {
+        suspects.take(&upstream, now)
+    } else {
+        Vec::new()
+    };
+    drop(suspects);
+    record_crash(&shared, &attempts);
+}
+
+/// Records which changes of the published list show a crash.
+pub(crate) fn record_changes(shared: &Shared, changes: &[Change]) {
+    let now = shared.now();
+    for change in changes {
+        let mut suspects = shared.suspects.borrow_mut();
+        match change {
+            Change::Leaving(upstream) => suspects.forget(upstream),
+            Change::Missing(upstream) | Change::Gone(upstream) => suspects.remove(upstream, now),
+            Change::Joined(upstream) => {
+                let attempts = suspects.take_replaced(upstream, now);
+                drop(suspects);
+                record_crash(shared, &attempts);
+            }
+        }
+    }
+}
+
+/// Records which attempts were running at one crash.
+fn record_crash(shared: &Shared, attempts: &[Attempt]) {
+    let mut has_held = false;
+    for attempt in attempts {
+        let start = start_tag(&attempt.upstream);
+        let mut gateway = shared.gateway();
+        let quarantine = &mut gateway.quarantine;
+        let is_held = quarantine.crashed(attempt.request, start, attempt.given_up);
+        let held = quarantine.parts_crashed(&attempt.parts, start, attempt.stage, attempt.given_up);
+        drop(gateway);
+        log::info!(
+            target: "crashes",
+            fingerprint = attempt.request,
+            parts:? = hex(&attempt.parts),
+            stage:? = attempt.stage,
+            upstream = &*attempt.upstream.id,
+            start = format!("{start:016x}").as_str(),
+            age_ms = millis(shared.now().saturating_sub(attempt.given_up)),
+            is_held;
+            "upstream crashed"
+        );
+        counter!("auburnline_crashes_total").increment(1);
+        log_newly_held(shared, &held);
+        has_held |= is_held || !held.is_empty();
+    }
+    if has_held {
+        notify_gateways(shared);
+    }
+}
+
 /// Formats the ids of a prompt's parts for the log.
 fn hex(parts: &[Part]) -> Vec<String> {
     parts.iter().map(|part| format!("{part:08x}")).collect()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,6 +30,7 @@
 mod shared;
 mod source;
 mod stream;
+mod suspect;
 mod telemetry;
 mod transfer;
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -27,8 +27,10 @@
 
 use crate::buffer::Pool;
 use crate::clock::Clock;
+use crate::crash;
 use crate::dialect::Dialect;
 use crate::source::log_changes;
+use crate::suspect::Suspects;
 use crate::telemetry::millis;
 
 /// Connect timeout for upstreams: many times a round trip between failure domains, and short relative to
@@ -63,6 +65,8 @@
     phase: watch::Sender<Phase>,
     leaving_since: Cell<Option<Monotonic>>,
     open: Cell<usize>,
+    /// Attempts that may still crash their upstreams.
+    pub(crate) suspects: RefCell<Suspects>,
     /// Memory for the answers that are being received or passed on.
     pub(crate) answers: Pool,
     /// Number of gateways by which the retry budget was last divided; `None` while it is unknown.
@@ -91,6 +95,7 @@
             phase: watch::Sender::new(Phase::Serving),
             leaving_since: Cell::new(None),
             open: Cell::new(0),
+            suspects: RefCell::default(),
             answers: Pool::default(),
             budget_members: Cell::new(None),
             source_wakeup: Notify::new(),
@@ -215,6 +220,7 @@
     /// Logs changes of the upstream pool, and drops the clients of upstreams that are gone.
     pub(crate) fn upstreams_changed(&self, changes: Vec<upstream::Change>) {
         log_changes(&changes);
+        crash::record_changes(self, &changes);
         let mut clients = self.clients.borrow_mut();
         for change in changes {
             if let upstream::Change::Gone(upstream) = change {
