--- a/crates/gateway/src/neighbour/size.rs
+++ b/crates/gateway/src/neighbour/size.rs
@@ -9,6 +9,7 @@
 //!
 //! A fleet that grows beyond the known size has to be seen anew.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use auburnline_core::time::Monotonic;
@@ -30,6 +31,8 @@
 /// Times the known members that a fleet may have while more of them become known. After a start of all gateways of a fleet of
 /// thousands that takes seconds.
 const UNKNOWN_FACTOR: usize = 3;
+/// Maximum number of members that another gateway may tell of.
+const MAX_SIZE: usize = 1 << 16;
 /// Heartbeats of a seed after its first news that prove that it is not only old news that goes around.
 const PROOF_HEARTBEATS: u64 = 10;
 
@@ -106,9 +109,12 @@
         Some(count(size))
     }
 
-    /// Records the size of the whole fleet that another gateway told.
+    /// Records the size of the whole fleet that another gateway told. A size that no fleet has is ignored.
     pub fn receive_size(&mut self, size: u32, now: Monotonic) {
         let size = usize::try_from(size).unwrap_or(usize::MAX);
+        if size > MAX_SIZE {
+            return;
+        }
         self.size.record(size.max(self.remembered()), now);
         self.size.is_told |= size >= self.size.peak - self.size.peak / GROWTH_DIVISOR;
     }
@@ -147,7 +153,7 @@
     }
 
     /// Returns whether the gateway at this address is there.
-    fn hears(&self, peers: std::net::SocketAddr, now: Monotonic) -> bool {
+    fn hears(&self, peers: SocketAddr, now: Monotonic) -> bool {
         let mut others = self.others.values();
         others.any(|known| {
             let is_proven = known.heard_directly.is_some()
--- a/crates/gateway/tests/all/share.rs
+++ b/crates/gateway/tests/all/share.rs
@@ -162,3 +162,13 @@
         }
     }
 }
+
+/// Guards against shares that are lost for good because a message told of a fleet that can't be.
+#[gtest]
+fn a_size_that_no_fleet_has_is_ignored() {
+    let mut world = settled(FLEETS[0]);
+    for roster in world.rosters.iter_mut().flatten() {
+        roster.receive_size(u32::MAX, KNOWN_WITHIN);
+    }
+    expect_whole(&mut world, "told of too large a fleet");
+}
