--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -123,6 +123,7 @@
         let has_crashed = flight.has_crashed().await;
         let now = self.shared.now();
         let attempt = Attempt {
+            id: self.id().to_owned(),
             upstream: Arc::clone(flight.target()),
             request: self.fingerprint(),
             parts: self.parts().to_vec(),
@@ -227,6 +228,7 @@
         drop(gateway);
         log::info!(
             target: "crashes",
+            request = attempt.id.as_str(),
             fingerprint = attempt.request,
             parts:? = hex(&attempt.parts),
             stage:? = attempt.stage,
--- a/crates/relay/src/suspect.rs
+++ b/crates/relay/src/suspect.rs
@@ -27,6 +27,8 @@
 /// An attempt that was given up without an answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
+    /// The caller's id for its attempt.
+    pub(crate) id: String,
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) request: Fingerprint,
     pub(crate) parts: Vec<Part>,
