Programs size their connections by the descriptors that the system allows, and raise the limit in force

Callers saw connections that the system accepted and nobody read until their deadline was over, and refusals. Cause: a gateway sized its connections by its settings, while the system allowed fewer descriptors; nothing read or raised that limit. accept and connect then fail while kept connections hold the descriptors.

Each program raises the limit in force to what it needs, goes by the lower of both, logs and exports it, and ends with a clear error where it is too low. A gateway accepts a connection only with a place for it. While many are open it keeps none beyond its request, and when all places are taken the longest wait for a request ends. Readiness and discovery have places of their own.

--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -31,7 +31,9 @@
 
 use crate::arrival::refuse_any;
 use crate::arrival::serve;
+use crate::head;
 use crate::head::Body;
+use crate::room::Place;
 use crate::shared::Phase;
 use crate::shared::Shared;
 
@@ -47,44 +49,40 @@
 /// Pause in which the runtime learns what has come on a connection before it is closed.
 pub(crate) const READ_PAUSE: Duration = Duration::from_millis(10);
 
-/// Divisor of the maximum number of connections that gives how many may be open beyond it. Requests on these are refused, which
-/// takes no connection to an upstream.
-const EXCESS_DIVISOR: usize = 2;
-
-/// An open connection of a caller, which is counted until it is dropped.
+/// An open connection of a caller.
 struct Open {
     shared: Rc<Shared>,
+    place: Rc<Place>,
     /// Requests read so far.
     requests: Cell<u64>,
-    /// Whether it is one beyond the maximum.
-    is_excess: bool,
 }
 
 impl Open {
-    fn new(shared: Rc<Shared>, is_excess: bool) -> Rc<Open> {
-        shared.opened();
+    fn new(shared: Rc<Shared>) -> Rc<Open> {
+        let place = shared.room.enter();
         Rc::new(Open {
             shared,
+            place,
             requests: Cell::new(0),
-            is_excess,
         })
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         self.requests.set(self.requests.get() + 1);
         let shared = &self.shared;
-        let mut response = if self.is_excess {
+        let (busy, room) = (self.place.begin(), self.place.room());
+        let mut response = if room.is_overloaded() {
             refuse_any(shared, request, Kind::Overloaded, "too many connections").await
         } else if shared.phase() >= Phase::Refusing {
             refuse_any(shared, request, Kind::Leaving, "shutting down").await
         } else {
             serve(Rc::clone(shared), request).await
         };
-        if self.is_excess || shared.is_leaving() {
+        if room.is_crowded() || shared.is_leaving() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
-        response
+        head::guarded(response, busy)
     }
 }
 
@@ -97,7 +95,6 @@
             (false, _) => "used",
         };
         metrics::counter!("auburnline_connections_closed_total", "reason" => reason).increment(1);
-        self.shared.closed();
     }
 }
 
@@ -108,21 +105,12 @@
 }
 
 impl Listening {
-    /// Accepts callers' connections. While `max_connections` are open, requests on new ones are refused, and far beyond that new
-    /// ones are closed at once.
-    pub(crate) fn start(
-        shared: Rc<Shared>,
-        listener: TcpListener,
-        max_connections: usize,
-    ) -> Listening {
+    /// Accepts callers' connections for which there is room.
+    pub(crate) fn start(shared: Rc<Shared>, listener: TcpListener) -> Listening {
         let (end, ended) = oneshot::channel();
-        let acceptor = Acceptor {
-            shared,
-            max_connections,
-        };
         Listening {
             end,
-            task: spawn_local(acceptor.run(listener, ended)),
+            task: spawn_local(Acceptor(shared).run(listener, ended)),
         }
     }
 
@@ -134,34 +122,32 @@
     }
 }
 
-struct Acceptor {
-    shared: Rc<Shared>,
-    max_connections: usize,
-}
+struct Acceptor(Rc<Shared>);
 
 impl Acceptor {
     async fn run(self, listener: TcpListener, mut ended: oneshot::Receiver<()>) {
         loop {
+            let accepting = async {
+                self.0.room.wait().await;
+                listener.accept().await
+            };
             let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+                accepted = accepting => accepted,
                 _ = &mut ended => break,
             };
             match accepted {
                 Ok((stream, _)) => self.accept(stream),
-                Err(error) => pause_after(&error).await,
+                Err(error) => {
+                    self.0.room.close_oldest();
+                    pause_after(&error).await;
+                }
             }
         }
         self.empty(listener);
     }
 
     fn accept(&self, stream: TcpStream) {
-        let open = self.shared.open();
-        if open >= self.max_connections + self.max_connections / EXCESS_DIVISOR {
-            metrics::counter!("auburnline_connections_refused_total").increment(1);
-            return;
-        }
-        let is_excess = open >= self.max_connections;
-        let open = Open::new(Rc::clone(&self.shared), is_excess);
+        let open = Open::new(Rc::clone(&self.0));
         spawn_local(connection(open, stream));
     }
 
@@ -186,7 +172,7 @@
 }
 
 async fn connection(open: Rc<Open>, stream: TcpStream) {
-    let shared = Rc::clone(&open.shared);
+    let (shared, place) = (Rc::clone(&open.shared), Rc::clone(&open.place));
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "callers", cause = error.to_string().as_str(); "failed to set TCP_NODELAY");
     }
@@ -213,7 +199,12 @@
         Phase::Closing
     };
     let closing = async {
-        let _ = phase.wait_for(|phase| *phase >= last).await;
+        tokio::select! {
+            _ = phase.wait_for(|phase| *phase >= last) => {}
+            () = place.told_to_close() => {
+                metrics::counter!("auburnline_connections_told_to_close_total").increment(1);
+            }
+        }
         sleep(READ_PAUSE).await;
     };
     let result = tokio::select! {
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -1,6 +1,7 @@
 //! HTTP endpoints for readiness probes and for discovery of gateways.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use crate::callers::ACCEPT_PAUSE;
 use crate::head;
 use crate::head::Body;
+use crate::room::Room;
 use crate::shared::Shared;
 
 /// Maximum idle time of a connection, and maximum time for a request head to arrive.
@@ -36,6 +38,8 @@
 /// State shared by the endpoints.
 pub(crate) struct Endpoints {
     pub(crate) shared: Rc<Shared>,
+    /// Places for the connections to all endpoints.
+    pub(crate) room: Rc<Room>,
     /// Maximum lifetime of a discovery response that the platform allows.
     pub(crate) max_lifetime: Duration,
 }
@@ -43,11 +47,13 @@
 /// Accepts connections for as long as the process runs.
 pub(crate) async fn listen(endpoints: Rc<Endpoints>, listener: TcpListener) {
     loop {
+        endpoints.room.wait().await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 spawn_local(connection(Rc::clone(&endpoints), stream));
             }
             Err(error) => {
+                endpoints.room.close_oldest();
                 let cause = error.to_string();
                 log::warn!(target: "site", cause = cause.as_str(); "failed to accept connection");
                 sleep(ACCEPT_PAUSE).await;
@@ -57,15 +63,27 @@
 }
 
 async fn connection(endpoints: Rc<Endpoints>, stream: TcpStream) {
+    let place = endpoints.room.enter();
+    let serving = Rc::clone(&place);
     let service = service_fn(move |request: Request<Incoming>| {
         let endpoints = Rc::clone(&endpoints);
+        let _busy = serving.begin();
         async move { Ok::<_, Infallible>(endpoints.answer(request.uri())) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
+    let mut connection = pin!(connection);
+    let result = tokio::select! {
+        biased;
+        result = connection.as_mut() => result,
+        () = place.told_to_close() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
         log::debug!(target: "site", cause = error.to_string().as_str(); "connection closed with an error");
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,6 +30,7 @@
 mod migration;
 mod payment;
 mod probe;
+mod room;
 mod run;
 mod settings;
 mod shared;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -9,6 +9,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use auburnline_duty::descriptors;
 use auburnline_duty::metrics;
 use auburnline_duty::program;
 use auburnline_duty::scrape;
@@ -30,6 +31,8 @@
 use crate::endpoints;
 use crate::endpoints::Endpoints;
 use crate::gossip;
+use crate::room::Room;
+use crate::settings::MIN_DESCRIPTORS;
 use crate::settings::Settings;
 use crate::shared::Phase;
 use crate::shared::Schedule;
@@ -61,9 +64,14 @@
 const SHUTDOWN_POLL: Duration = Duration::from_millis(100);
 /// Interval at which the settings file is read again.
 const SETTINGS_POLL: Duration = Duration::from_secs(2);
-/// Divisor of the descriptor limit that gives the maximum number of caller connections; each of them needs another descriptor
-/// for its upstream.
+/// Descriptors for each caller that may be busy: one for its connection, one for that to its upstream, half of one for a caller
+/// beyond these, and the rest for second attempts and probes.
 const DESCRIPTORS_PER_CALLER: usize = 3;
+/// Descriptors for logs, listeners, messages, metrics, the runtime, and connections to the store.
+const OWN_DESCRIPTORS: usize = 24;
+/// Divisor of the descriptors that gives the connections to the endpoints for readiness and discovery, and their least number.
+const ENDPOINTS_DIVISOR: usize = 32;
+const MIN_ENDPOINTS: usize = 4;
 
 /// Runs a gateway until SIGTERM or SIGINT, and shuts it down gracefully.
 ///
@@ -105,7 +113,6 @@
     gateway.set_features(settings.features.clone());
     let started = SystemTime::now().duration_since(UNIX_EPOCH);
     gateway.set_start_time(started.unwrap_or(Duration::MAX));
-    let shared = Rc::new(Shared::new(clock, gateway, dialect));
     log::info!(
         target: "process",
         instance = settings.instance.as_str(),
@@ -115,10 +122,13 @@
         settings:?;
         "start"
     );
+    let limit = descriptors::raise(settings.descriptors, MIN_DESCRIPTORS)?;
+    let rooms = Rooms::within(limit);
+    let shared = Rc::new(Shared::new(clock, gateway, dialect, rooms.callers));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hangup = signal(SignalKind::hangup())?;
-    let listening = listen(&shared, &settings, metrics).await?;
+    let listening = listen(&shared, &settings, metrics, rooms.endpoints).await?;
     spawn_local(source.run(Feed(Rc::clone(&shared))));
     spawn_local(watch_settings(
         Rc::clone(&shared),
@@ -129,7 +139,7 @@
     let unnoticed = told_to_stop(&mut terminate, &mut interrupt).await;
     let grace = Duration::from_millis(settings.grace_ms);
     leave(&shared, listening, grace, unnoticed).await;
-    log::info!(target: "process", open = shared.open(), reason = "signal"; "stop");
+    log::info!(target: "process", open = shared.room.open(), reason = "signal"; "stop");
     Ok(())
 }
 
@@ -138,6 +148,7 @@
     shared: &Rc<Shared>,
     settings: &Settings,
     metrics: metrics::Handle,
+    room: Rc<Room>,
 ) -> io::Result<Listening> {
     let callers = TcpListener::bind(settings.callers).await?;
     let peers = settings.peers_listen.unwrap_or(settings.peers);
@@ -145,6 +156,7 @@
     shared.set_socket(Rc::clone(&socket));
     let endpoints = Rc::new(Endpoints {
         shared: Rc::clone(shared),
+        room,
         max_lifetime: Duration::from_millis(settings.longest_answer_ms),
     });
     for address in [settings.readiness, settings.discovery] {
@@ -155,12 +167,26 @@
     spawn_local(scrape::serve(listener, metrics));
     spawn_local(gossip::run(Rc::clone(shared), socket));
     spawn_local(transfer::run(Rc::clone(shared)));
-    let max_connections = settings.descriptors / DESCRIPTORS_PER_CALLER;
-    Ok(Listening::start(
-        Rc::clone(shared),
-        callers,
-        max_connections,
-    ))
+    Ok(Listening::start(Rc::clone(shared), callers))
+}
+
+/// Room for the connections to this gateway.
+struct Rooms {
+    callers: Rc<Room>,
+    endpoints: Rc<Room>,
+}
+
+impl Rooms {
+    /// Divides the descriptors that the process may have.
+    fn within(limit: usize) -> Rooms {
+        let endpoints = (limit / ENDPOINTS_DIVISOR).max(MIN_ENDPOINTS);
+        let callers =
+            limit.saturating_sub(OWN_DESCRIPTORS + 2 * endpoints) / DESCRIPTORS_PER_CALLER;
+        Rooms {
+            callers: Room::new(callers.max(1)),
+            endpoints: Room::new(endpoints),
+        }
+    }
 }
 
 /// Waits for a signal to stop. Returns for how long it may have gone unnoticed, since the grace period counts from the signal
@@ -191,7 +217,7 @@
 /// Shuts down gracefully: announces it, serves new requests for a while longer, refuses them after that, and returns once all
 /// connections are closed or the grace period is nearly over. Requests that have no answer by then are answered with an error.
 async fn leave(shared: &Shared, listening: Listening, grace: Duration, unnoticed: Duration) {
-    log::info!(target: "process", open = shared.open(), grace_ms = millis(grace), unnoticed_ms = millis(unnoticed); "leaving");
+    log::info!(target: "process", open = shared.room.open(), grace_ms = millis(grace), unnoticed_ms = millis(unnoticed); "leaving");
     let serving = grace.mul_f64(SERVE_FRACTION).min(MAX_SERVE);
     let since = shared.now().saturating_sub(unnoticed);
     shared.leave(Schedule {
@@ -225,12 +251,12 @@
 /// Returns whether no connection is open, also after those that waited to be accepted. The process may take a while to end, so that
 /// no new ones are let in meanwhile.
 async fn is_drained(shared: &Shared, listening: &mut Option<Listening>) -> bool {
-    if shared.open() > 0 {
+    if shared.room.open() > 0 {
         return false;
     }
     sleep(callers::READ_PAUSE).await;
     end_listening(listening).await;
-    shared.open() == 0
+    shared.room.open() == 0
 }
 
 async fn end_listening(listening: &mut Option<Listening>) {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 
 /// Minimum number of file descriptors that a gateway needs.
-const MIN_DESCRIPTORS: usize = 64;
+pub(crate) const MIN_DESCRIPTORS: usize = 64;
 
 const fn heartbeat_ms() -> u64 {
     1_200
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -31,6 +31,7 @@
 use crate::clock::Clock;
 use crate::crash;
 use crate::dialect::Dialect;
+use crate::room::Room;
 use crate::source::log_changes;
 use crate::suspect::Suspects;
 use crate::telemetry::millis;
@@ -80,7 +81,8 @@
     phase: watch::Sender<Phase>,
     /// Times of its shutdown; `None` before that.
     schedule: Cell<Option<Schedule>>,
-    open: Cell<usize>,
+    /// Places for callers' connections.
+    pub(crate) room: Rc<Room>,
     /// Attempts that may still crash their upstreams.
     pub(crate) suspects: RefCell<Suspects>,
     /// Upstreams at which a question waits.
@@ -105,7 +107,12 @@
 }
 
 impl Shared {
-    pub(crate) fn new(clock: Clock, gateway: Gateway, dialect: Rc<dyn Dialect>) -> Shared {
+    pub(crate) fn new(
+        clock: Clock,
+        gateway: Gateway,
+        dialect: Rc<dyn Dialect>,
+        room: Rc<Room>,
+    ) -> Shared {
         Shared {
             clock,
             gateway: RefCell::new(gateway),
@@ -114,7 +121,7 @@
             capacity_freed: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
             schedule: Cell::new(None),
-            open: Cell::new(0),
+            room,
             suspects: RefCell::default(),
             probed: RefCell::default(),
             probe_ended: Notify::new(),
@@ -333,21 +340,6 @@
     pub(crate) fn phases(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
     }
-
-    /// Counts a new caller connection.
-    pub(crate) fn opened(&self) {
-        self.open.set(self.open.get() + 1);
-    }
-
-    /// Counts a closed caller connection.
-    pub(crate) fn closed(&self) {
-        self.open.set(self.open.get() - 1);
-    }
-
-    /// Returns the number of open caller connections.
-    pub(crate) fn open(&self) -> usize {
-        self.open.get()
-    }
 }
 
 /// Encodes messages one after the other; none if they exceed one packet.
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use auburnline_duty::descriptors;
 use auburnline_duty::metrics;
 use auburnline_duty::program;
 use auburnline_duty::scrape;
@@ -16,6 +17,11 @@
 use crate::settings::Settings;
 use crate::sidecar::Sidecar;
 
+/// Descriptors for logs, messages, metrics, the runtime, and the connections to one engine.
+const WANTED_DESCRIPTORS: usize = 256;
+/// Minimum number of descriptors with which a sidecar can run.
+const MIN_DESCRIPTORS: usize = 32;
+
 /// Runs a sidecar until the process gets SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -39,6 +45,7 @@
         settings:?;
         "start"
     );
+    descriptors::raise(WANTED_DESCRIPTORS, MIN_DESCRIPTORS)?;
     let socket = UdpSocket::bind(settings.peers).await?;
     let listener = TcpListener::bind(settings.metrics).await?;
     let serving = scrape::serve(listener, metrics);
--- a/crates/slot/src/run.rs
+++ b/crates/slot/src/run.rs
@@ -13,6 +13,7 @@
 use auburnline_operator::Options;
 use auburnline_peer::node;
 use auburnline_process::board::Board;
+use auburnline_process::descriptors;
 use auburnline_process::incarnation;
 use auburnline_process::reader;
 use auburnline_process::signal;
@@ -53,6 +54,7 @@
 fn start(settings: Slot) -> io::Result<Thread> {
     let decisions = logging::start(settings.limits.max_decisions)?;
     let recorder = metrics::install()?;
+    let connections = descriptors::connections(settings.limits.max_connections)?;
     let lock = hold(&settings)?;
     let clock = Clock::start();
     let incarnation = incarnation();
@@ -94,7 +96,7 @@
     let stop = move || events.push(Event::Drain).is_ok();
     let board = Arc::new(Board::new(decisions, recorder, stop));
     let operator = Options::new(settings.operator, settings.operator_token.secret())
-        .max_connections(settings.limits.max_connections)
+        .max_connections(connections)
         .max_header_bytes(settings.limits.max_header_bytes)
         .start(board.clone(), logging::bridge())?;
     let ways = Ways {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod configuration;
+mod descriptors;
 mod docs;
 mod drain;
 mod experts;
