--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,7 @@
 mod run;
 mod settings;
 mod shared;
+mod shutdown;
 mod source;
 mod stream;
 mod suspect;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -1,11 +1,10 @@
-//! Startup, operation and graceful shutdown of a gateway.
+//! Startup and operation of a gateway.
 
 use std::io;
 use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -24,7 +23,6 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::callers;
 use crate::callers::Listening;
 use crate::clock::Clock;
 use crate::dialect::Dialect;
@@ -34,34 +32,12 @@
 use crate::room::Room;
 use crate::settings::MIN_DESCRIPTORS;
 use crate::settings::Settings;
-use crate::shared::Phase;
-use crate::shared::Schedule;
 use crate::shared::Shared;
+use crate::shutdown;
 use crate::source::Feed;
 use crate::source::Source;
-use crate::telemetry::millis;
 use crate::transfer;
 
-/// Fraction of the grace period for which a gateway that is shutting down serves new requests: callers cache discovery
-/// responses for seconds, and the requests that they send meanwhile must still complete within the period.
-const SERVE_FRACTION: f64 = 0.35;
-/// Longest time for which it serves them. Work that is cut at the end of the period is excused only if its request was sent within
-/// 3 s of the signal, which a process on a busy machine notices late.
-const MAX_SERVE: Duration = Duration::from_millis(2_400);
-/// Fraction of the grace period after which connections without a request are closed. Callers that use theirs were refused
-/// before, and know that this gateway leaves.
-const CLOSE_FRACTION: f64 = 0.5;
-/// Fraction of the grace period after which requests that have no answer yet are answered with an error.
-const ANSWER_FRACTION: f64 = 0.85;
-/// Fraction of the grace period after which the process exits even if connections are still open. The rest is for a process on a
-/// busy machine, which acts late.
-const EXIT_FRACTION: f64 = 0.9;
-/// Interval at which the process takes note that it runs.
-const RUN_POLL: Duration = Duration::from_millis(200);
-/// Time in which the runtime learns of a signal that came while the process did not run.
-const SIGNAL_DELAY: Duration = Duration::from_millis(50);
-/// Interval at which a shutdown checks whether all connections are closed.
-const SHUTDOWN_POLL: Duration = Duration::from_millis(100);
 /// Interval at which the settings file is read again.
 const SETTINGS_POLL: Duration = Duration::from_secs(2);
 /// Descriptors for each caller that may be busy: one for its connection, one for that to its upstream, half of one for a caller
@@ -136,9 +112,9 @@
         settings.clone(),
         hangup,
     ));
-    let unnoticed = told_to_stop(&mut terminate, &mut interrupt).await;
+    let unnoticed = shutdown::told_to_stop(&mut terminate, &mut interrupt).await;
     let grace = Duration::from_millis(settings.grace_ms);
-    leave(&shared, listening, grace, unnoticed).await;
+    shutdown::leave(&shared, listening, grace, unnoticed).await;
     log::info!(target: "process", open = shared.room.open(), reason = "signal"; "stop");
     Ok(())
 }
@@ -189,82 +165,6 @@
     }
 }
 
-/// Waits for a signal to stop. Returns for how long it may have gone unnoticed, since the grace period counts from the signal
-/// also for a process that did not run.
-async fn told_to_stop(terminate: &mut Signal, interrupt: &mut Signal) -> Duration {
-    let mut ran = Instant::now();
-    let mut last_gap = Duration::ZERO;
-    loop {
-        let gap = || ran.elapsed().saturating_sub(RUN_POLL);
-        tokio::select! {
-            biased;
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            () = sleep(RUN_POLL) => {
-                last_gap = gap();
-                ran = Instant::now();
-            }
-        }
-    }
-    let since_run = ran.elapsed();
-    if since_run < SIGNAL_DELAY {
-        last_gap
-    } else {
-        since_run.saturating_sub(RUN_POLL)
-    }
-}
-
-/// Shuts down gracefully: announces it, serves new requests for a while longer, refuses them after that, and returns once all
-/// connections are closed or the grace period is nearly over. Requests that have no answer by then are answered with an error.
-async fn leave(shared: &Shared, listening: Listening, grace: Duration, unnoticed: Duration) {
-    log::info!(target: "process", open = shared.room.open(), grace_ms = millis(grace), unnoticed_ms = millis(unnoticed); "leaving");
-    let serving = grace.mul_f64(SERVE_FRACTION).min(MAX_SERVE);
-    let since = shared.now().saturating_sub(unnoticed);
-    shared.leave(Schedule {
-        since,
-        refusing: since + serving,
-        ending: since + grace.mul_f64(ANSWER_FRACTION),
-    });
-    let mut listening = Some(listening);
-    loop {
-        let leaving_for = shared.leaving_for().unwrap_or_default();
-        if leaving_for >= serving {
-            shared.enter(Phase::Refusing);
-        }
-        if leaving_for >= grace.mul_f64(CLOSE_FRACTION) {
-            shared.enter(Phase::Closing);
-            if is_drained(shared, &mut listening).await {
-                return;
-            }
-        }
-        if leaving_for >= grace.mul_f64(ANSWER_FRACTION) {
-            end_listening(&mut listening).await;
-            shared.enter(Phase::Ending);
-        }
-        if leaving_for >= grace.mul_f64(EXIT_FRACTION) {
-            return;
-        }
-        sleep(SHUTDOWN_POLL).await;
-    }
-}
-
-/// Returns whether no connection is open, also after those that waited to be accepted. The process may take a while to end, so that
-/// no new ones are let in meanwhile.
-async fn is_drained(shared: &Shared, listening: &mut Option<Listening>) -> bool {
-    if shared.room.open() > 0 {
-        return false;
-    }
-    sleep(callers::READ_PAUSE).await;
-    end_listening(listening).await;
-    shared.room.open() == 0
-}
-
-async fn end_listening(listening: &mut Option<Listening>) {
-    if let Some(listening) = listening.take() {
-        listening.end().await;
-    }
-}
-
 /// Applies changes of the settings file, on SIGHUP and on a timer.
 async fn watch_settings(
     shared: Rc<Shared>,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -32,6 +32,7 @@
 use crate::crash;
 use crate::dialect::Dialect;
 use crate::room::Room;
+use crate::shutdown::Schedule;
 use crate::source::log_changes;
 use crate::suspect::Suspects;
 use crate::telemetry::millis;
@@ -60,17 +61,6 @@
     Ending,
 }
 
-/// Times of a shutdown.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Schedule {
-    /// When the process was told to stop.
-    pub(crate) since: Monotonic,
-    /// When it begins to refuse new requests.
-    pub(crate) refusing: Monotonic,
-    /// When it answers the requests that have no answer yet.
-    pub(crate) ending: Monotonic,
-}
-
 /// State of one gateway process.
 pub(crate) struct Shared {
     clock: Clock,
@@ -298,12 +288,6 @@
         self.schedule.get().is_some()
     }
 
-    /// Returns the time since the shutdown started; `None` before that.
-    pub(crate) fn leaving_for(&self) -> Option<Duration> {
-        let since = self.schedule.get()?.since;
-        Some(self.now().saturating_sub(since))
-    }
-
     /// Returns whether the process is about to end in less than `time`.
     pub(crate) fn ends_within(&self, time: Duration) -> bool {
         let schedule = self.schedule.get();
