An entry at the address of another upstream gives way once the process there says that it is another one

Callers got 503 for every request: an entry of another writer at the address of a sound upstream hides it, since of two at one address the one that appeared last counts as the one that runs. The refusal is decoded as what it says, and the entry counts as misplaced while another one is listed at its address.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -170,6 +170,16 @@
         was_ready.then(|| Change::Leaving(Arc::clone(&member.upstream)))
     }
 
+    /// Records that the process at the address of an upstream has said that it is another one. Where another one is listed
+    /// there, that one gets the requests from now on; returns whether it does.
+    pub fn mark_misplaced(&mut self, upstream: &Upstream) -> bool {
+        let mut members = self.members.values();
+        let is_shared = members.any(|member| {
+            member.upstream.address == upstream.address && member.upstream.id != upstream.id
+        });
+        is_shared && self.addresses.mark_misplaced(upstream)
+    }
+
     /// Returns whether this incarnation of an upstream gets new requests.
     #[must_use]
     pub fn is_ready(&self, upstream: &Upstream) -> bool {
@@ -262,8 +272,9 @@
         });
         if !removed.is_empty() {
             let members = self.members.values();
-            let used: HashSet<_> = members.map(|member| member.upstream.address).collect();
-            self.addresses.retain(&used);
+            let listed = members.map(|member| &member.upstream);
+            let listed = listed.map(|upstream| (upstream.address, upstream.id.clone()));
+            self.addresses.retain(&listed.collect());
         }
         removed
     }
--- a/crates/gateway/tests/all/upstream.rs
+++ b/crates/gateway/tests/all/upstream.rs
@@ -188,6 +188,41 @@
     }
 }
 
+/// Guards against an entry of another writer that hides the upstream at its address for good, though the process there says that it
+/// is another one.
+#[gtest]
+fn an_upstream_is_used_again_once_the_process_at_its_address_refuses_to_be_another_one() {
+    let mut pool = Pool::default();
+    pool.insert(upstream("u0", "desk", State::Ready));
+    let ghost = |number: u64| Upstream {
+        appeared: revision(number),
+        ..upstream(&format!("ghost-{number}"), "desk", State::Ready)
+    };
+    for number in 7..10 {
+        pool.insert(ghost(number));
+    }
+    for number in (7..10).rev() {
+        let chosen = choose(&pool, Preference::EvenLoad, &[], 0);
+        assert_that!(chosen, some(eq(&*format!("ghost-{number}"))));
+        assert_that!(pool.mark_misplaced(&ghost(number)), eq(true));
+        assert_that!(pool.mark_misplaced(&ghost(number)), eq(false));
+    }
+    assert_that!(choose(&pool, Preference::EvenLoad, &[], 0), some(eq("u0")));
+    // Written again under the same key, it is another one.
+    let mut again = ghost(9);
+    again.appeared = revision(20);
+    pool.insert(again);
+    assert_that!(
+        choose(&pool, Preference::EvenLoad, &[], 0),
+        some(eq("ghost-9"))
+    );
+    // One that is alone at its address stays, whatever it refused.
+    let mut alone = Pool::default();
+    alone.insert(ghost(7));
+    assert_that!(alone.mark_misplaced(&ghost(7)), eq(false));
+    assert_that!(alone.ready("desk"), eq(1));
+}
+
 /// Another writer adds an entry, of a service that no configuration defines, at the address of an
 /// upstream.
 #[gtest]
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -56,6 +56,8 @@
     Answer,
     /// The upstream states that it did not execute the request.
     NotRun,
+    /// The process at the address states that it is not the upstream that the request was for, and did not execute it.
+    Misdirected,
     /// Not a response to this request, or one that lacks what is needed to pass it on.
     Unrelated,
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -257,16 +257,13 @@
                 self.may_have_run.set(true);
                 Sent::Began(reply, flight)
             }
-            Classification::NotRun => {
-                flight.refused();
-                self.log_failure("refused by the upstream without executing it", &flight);
-                let now = self.shared.now();
-                let mut gateway = self.shared.gateway();
-                gateway.refused(&self.plan, flight.upstream(), flight.group(), now);
-                drop(gateway);
-                Sent::Failed {
-                    may_retry: self.may_retry("refused", self.payment()),
+            Classification::NotRun => self.refused(flight),
+            Classification::Misdirected => {
+                let is_news = self.shared.gateway().pool.mark_misplaced(flight.target());
+                if is_news {
+                    log::warn!(target: "upstreams", upstream = &**flight.upstream(), address:% = flight.target().address; "another upstream runs at its address");
                 }
+                self.refused(flight)
             }
             Classification::Unrelated => {
                 flight.failed();
@@ -275,6 +272,18 @@
         }
     }
 
+    fn refused(&self, mut flight: Flight) -> Sent {
+        flight.refused();
+        self.log_failure("refused by the upstream without executing it", &flight);
+        let now = self.shared.now();
+        let mut gateway = self.shared.gateway();
+        gateway.refused(&self.plan, flight.upstream(), flight.group(), now);
+        drop(gateway);
+        Sent::Failed {
+            may_retry: self.may_retry("refused", self.payment()),
+        }
+    }
+
     async fn failed(&self, failure: Failure, flight: &Flight) -> Sent {
         self.log_failure(&failure.to_string(), flight);
         let may_retry = if failure == Failure::NotSent {
