--- a/crates/relay/src/room.rs
+++ b/crates/relay/src/room.rs
@@ -21,8 +21,8 @@
 /// Divisor of the number of connections that may be busy which gives how many more may be open. Requests on these are refused,
 /// which takes no connection to an upstream.
 const EXCESS_DIVISOR: usize = 2;
-/// Part of the number of connections that may be busy from which on none is kept.
-const CROWDED: f64 = 0.75;
+/// Percentage of the connections that may be busy beyond which none is kept.
+const CROWDED_PERCENT: usize = 75;
 
 /// Places for connections.
 #[derive(Debug)]
@@ -61,7 +61,7 @@
 
     /// Returns whether so many connections are open that none is to be kept beyond its request.
     pub(crate) fn is_crowded(&self) -> bool {
-        real(self.open.get()) > real(self.most) * CROWDED
+        self.open.get() * 100 > self.most * CROWDED_PERCENT
     }
 
     /// Returns whether more connections are busy than may be.
@@ -101,10 +101,6 @@
     }
 }
 
-fn real(count: usize) -> f64 {
-    u32::try_from(count).map_or(f64::INFINITY, f64::from)
-}
-
 /// The place of an open connection, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Place {
