The heap of each program is counted and served as a metric

Nothing told how much memory a process has in use, so that a flood by an upstream could not be told from other causes of a growth. No logic reads it yet.

--- a/crates/duty/src/metrics.rs
+++ b/crates/duty/src/metrics.rs
@@ -11,6 +11,8 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+use crate::memory;
+
 /// Interval at which samples are aggregated.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// Upper bounds of the buckets of all histograms, in seconds.
@@ -26,6 +28,7 @@
     /// Returns all metrics as Prometheus text.
     #[must_use]
     pub fn render(&self) -> String {
+        memory::export();
         self.0.render()
     }
 }
