A gateway holds no more than the memory that it may have

What callers saw: a gateway before upstreams that send without end ends for lack of memory, and all requests of its callers with it. Cause: heads and single answers were bounded, their sum was not. 64 KiB of each answer were not counted, the read buffer of each connection to an upstream grew to 64 KiB beside them, bodies of requests were not counted at all, and nothing knew what the process may have. Class: each part is bounded, their number is not. Now memory_mb (limits.memory-mb of the platform), or less if the system allows less, bounds the process. Callers are sized by it, as by descriptors. Bodies and answers take their part of a pool before they are held; where it is exhausted the one that holds most for what it has passed on is given up, a body as not run; an answer that said its length takes all of it at once, waits for it, and is never given up. Requests are refused as not run beyond three quarters of the heap. The HTTP client reads less at once than its buffer holds, so that the buffer does not grow; endpoints and scrapes bound their heads.

--- a/crates/duty/src/memory.rs
+++ b/crates/duty/src/memory.rs
@@ -9,6 +9,9 @@
 use std::alloc::System;
 use std::fs;
 use std::path::Path;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use cap::Cap;
 use rustix::process::Resource;
@@ -16,6 +19,10 @@
 
 #[global_allocator]
 static HEAP: Cap<System> = Cap::new(System, usize::MAX);
+/// Limit that was found at the start.
+static FOUND: OnceLock<Limit> = OnceLock::new();
+/// Bytes of the heap that are reserved and not in use yet.
+static RESERVED: AtomicUsize = AtomicUsize::new(0);
 
 /// Part of the machine's memory that a process may have where nothing else is said: one half.
 const MACHINE_DIVISOR: usize = 2;
@@ -34,6 +41,12 @@
     HEAP.allocated()
 }
 
+/// Returns the limit that was found at the start; none before.
+#[must_use]
+pub fn limit() -> Option<Limit> {
+    FOUND.get().copied()
+}
+
 /// Limits on the memory of the process, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limit {
@@ -51,7 +64,7 @@
         Limit { process, heap }
     }
 
-    /// Returns the lower of `wanted` MiB and what the system allows. The result is logged and exported.
+    /// Returns the lower of `wanted` MiB and what the system allows, as it was at the first call. The result is logged and exported.
     ///
     /// # Errors
     ///
@@ -80,13 +93,32 @@
         if wanted.is_some_and(|wanted| limit.process < wanted) {
             log::warn!(target: "process", wanted:?, limit = limit.process; "the system allows less memory than the settings");
         }
-        Ok(limit)
+        Ok(*FOUND.get_or_init(|| limit))
     }
 
     /// Returns whether the heap may grow by so many bytes and stay below a percentage of its limit.
     #[must_use]
     pub fn has_room(&self, bytes: usize, percent: usize) -> bool {
-        in_use().saturating_add(bytes) <= self.heap / 100 * percent
+        let taken = in_use().saturating_add(RESERVED.load(Ordering::Relaxed));
+        taken.saturating_add(bytes) <= self.heap / 100 * percent
+    }
+
+    /// Reserves so many bytes of the heap, if it stays below a percentage of its limit.
+    #[must_use]
+    pub fn reserve(&self, bytes: usize, percent: usize) -> Option<Reservation> {
+        RESERVED.fetch_add(bytes, Ordering::Relaxed);
+        let reservation = Reservation(bytes);
+        self.has_room(0, percent).then_some(reservation)
+    }
+}
+
+/// Bytes of the heap that are kept for something, until it is dropped.
+#[derive(Debug)]
+pub struct Reservation(usize);
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        RESERVED.fetch_sub(self.0, Ordering::Relaxed);
     }
 }
 
--- a/crates/duty/src/scrape.rs
+++ b/crates/duty/src/scrape.rs
@@ -24,6 +24,8 @@
 const METRICS_PATH: &str = "/metrics";
 /// Longest wait for the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest head of a request.
+const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -48,6 +50,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
         .keep_alive(false)
         .serve_connection(TokioIo::new(stream), service);
     if let Err(error) = connection.await {
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -7,6 +7,7 @@
 use error_stack::Report;
 use error_stack::ResultExt as _;
 use http_body_util::BodyExt as _;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 
 use crate::failure::Failure;
@@ -59,6 +60,12 @@
         self.delimited
     }
 
+    /// Returns the length of the body, if its head gives one.
+    #[must_use]
+    pub fn length(&self) -> Option<u64> {
+        self.incoming.size_hint().exact()
+    }
+
     /// Returns the next part, or `None` at the end.
     ///
     /// # Errors
@@ -131,13 +138,17 @@
         mut self,
         mut has_room: impl FnMut(usize) -> bool,
     ) -> Result<Bytes, Report<Failure>> {
-        let mut whole = BytesMut::new();
+        let too_long = || Report::new(Failure::Malformed).attach("the body exceeds its size limit");
+        let length = self.length().unwrap_or(0);
+        let length = usize::try_from(length).map_err(|_| too_long())?;
+        if !has_room(length) {
+            return Err(too_long());
+        }
+        let mut whole = BytesMut::with_capacity(length);
         while let Some(part) = self.next().await {
             let part = part?;
             if !has_room(whole.len() + part.len()) {
-                return Err(
-                    Report::new(Failure::Malformed).attach("the body exceeds its size limit")
-                );
+                return Err(too_long());
             }
             whole.extend_from_slice(&part);
         }
--- a/crates/http/src/meter.rs
+++ b/crates/http/src/meter.rs
@@ -34,8 +34,8 @@
 
 /// Maximum bytes from a request to the end of its answer's head, with what is read ahead of the body.
 const MAX_HEAD_BYTES: usize = 256 << 10;
-/// Maximum bytes of one read.
-const READ_BYTES: usize = 16 << 10;
+/// Maximum bytes of one read, less than the read buffer with which the HTTP library begins: one that is filled by a read grows.
+const READ_BYTES: usize = (8 << 10) - 1;
 
 #[derive(Debug, Default)]
 struct State {
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -9,7 +9,9 @@
 use auburnline_gateway::quarantine::part::Stage;
 use auburnline_gateway::request::Refusal;
 use auburnline_gateway::route::Kind;
+use auburnline_http::Body as Incoming;
 use auburnline_http::bounded;
+use bytes::Bytes;
 use http::Response;
 
 use crate::exchange::Exchange;
@@ -17,6 +19,7 @@
 use crate::flight::Flight;
 use crate::head;
 use crate::head::Body;
+use crate::memory::Buffer;
 use crate::telemetry::Timing;
 
 /// Maximum size of a buffered response body.
@@ -94,10 +97,9 @@
         Sent::Refused(refusal) => return Outcome::Refused(refusal),
     };
     let is_delimited = reply.body.is_delimited();
-    let mut buffer = exchange.shared.answers.buffer();
-    let has_room = |bytes| bytes <= MAX_ANSWER_BYTES && buffer.resize(bytes);
-    let body = bounded(exchange.time_left(), reply.body.whole_if(has_room)).await;
-    let body = body.ok().and_then(Result::ok);
+    let mut buffer = exchange.shared.answers.buffer(reply.body.length());
+    let body = bounded(exchange.time_left(), receive(reply.body, &mut buffer)).await;
+    let body = body.ok().flatten();
     // An upstream that crashes closes its connections too.
     let is_whole = is_delimited || !flight.has_crashed().await;
     let Some(body) = body.filter(|_| is_whole) else {
@@ -123,6 +125,27 @@
     Outcome::Answered(head::whole(reply.status, headers, buffer.hold(body)))
 }
 
+/// Reads an answer, unless it is too long or is given up for lack of memory.
+async fn receive(body: Incoming, buffer: &mut Buffer) -> Option<Bytes> {
+    let length = body.length().map(usize::try_from).transpose().ok()?;
+    if length.is_some_and(|length| length > MAX_ANSWER_BYTES) {
+        return None;
+    }
+    if let Some(length) = length {
+        buffer.reserve(length).await;
+    }
+    let given_up = buffer.given_up();
+    let has_room = |bytes| {
+        let is_reserved = length.is_some_and(|length| bytes <= length);
+        is_reserved || bytes <= MAX_ANSWER_BYTES && buffer.resize(bytes)
+    };
+    tokio::select! {
+        biased;
+        () = given_up => None,
+        body = body.whole_if(has_room) => body.ok(),
+    }
+}
+
 fn record_duration(exchange: &Exchange, flight: &Flight) {
     let now = exchange.shared.now();
     let took = now.saturating_sub(flight.began());
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -11,6 +11,7 @@
 use http::Response;
 use hyper::body::Incoming;
 
+use crate::body::discard_body;
 use crate::body::read_body;
 use crate::dialect::Call;
 use crate::exchange::Exchange;
@@ -40,13 +41,14 @@
     };
     let body = match read_body(&shared, body).await {
         Ok(body) => body,
+        Err(Kind::Overloaded) => {
+            let refusal = Refusal::new(Kind::Overloaded, "not enough memory for the body");
+            let refusal = refusal.with_retry_after(RETRY_ELSEWHERE);
+            return refuse(&shared, &call.id, None, &refusal);
+        }
         Err(kind) => {
-            return refuse(
-                &shared,
-                &call.id,
-                None,
-                &Refusal::new(kind, "request body not received"),
-            );
+            let refusal = Refusal::new(kind, "request body not received");
+            return refuse(&shared, &call.id, None, &refusal);
         }
     };
     let whole_path = head.uri.path_and_query();
@@ -94,7 +96,7 @@
     let call = shared.dialect.call(&head.uri, &head.headers);
     let id = call.map(|call| call.id).unwrap_or_default();
     // Closing a connection with unread bytes would reset it, and the answer would be lost.
-    let _ = read_body(shared, body).await;
+    discard_body(shared, body).await;
     refuse(
         shared,
         &id,
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -33,6 +33,7 @@
 use crate::arrival::serve;
 use crate::head;
 use crate::head::Body;
+use crate::memory;
 use crate::room::Place;
 use crate::shared::Phase;
 use crate::shared::Shared;
@@ -73,6 +74,9 @@
         let (busy, room) = (self.place.begin(), self.place.room());
         let mut response = if room.is_overloaded() {
             refuse_any(shared, request, Kind::Overloaded, "too many connections").await
+        } else if !memory::has_room_for_request(shared.memory) {
+            metrics::counter!("auburnline_memory_refusals_total").increment(1);
+            refuse_any(shared, request, Kind::Overloaded, "not enough memory").await
         } else if shared.phase() >= Phase::Refusing {
             refuse_any(shared, request, Kind::Leaving, "shutting down").await
         } else {
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -31,6 +31,8 @@
 
 /// Maximum idle time of a connection, and maximum time for a request head to arrive.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum size of a request head.
+const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Time for which callers may cache a discovery response: slightly longer than it takes to detect a dead gateway,
 /// so that callers stop using it soon.
 const DISCOVERY_LIFETIME: Duration = Duration::from_secs(2);
@@ -73,6 +75,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -9,6 +9,7 @@
 use std::time::UNIX_EPOCH;
 
 use auburnline_duty::descriptors;
+use auburnline_duty::memory::Limit;
 use auburnline_duty::metrics;
 use auburnline_duty::program;
 use auburnline_duty::scrape;
@@ -29,6 +30,8 @@
 use crate::endpoints;
 use crate::endpoints::Endpoints;
 use crate::gossip;
+use crate::memory::OWN_BYTES;
+use crate::memory::REQUEST_BYTES;
 use crate::room::Room;
 use crate::settings::MIN_DESCRIPTORS;
 use crate::settings::Settings;
@@ -45,6 +48,8 @@
 const DESCRIPTORS_PER_CALLER: usize = 3;
 /// Descriptors for logs, listeners, messages, metrics, the runtime, and connections to the store.
 const OWN_DESCRIPTORS: usize = 24;
+/// Part of the heap for callers that are busy, with what each of them may take in any case: one half.
+const CALLERS_DIVISOR: usize = 2;
 /// Divisor of the descriptors that gives the connections to the endpoints for readiness and discovery, and their least number.
 const ENDPOINTS_DIVISOR: usize = 32;
 const MIN_ENDPOINTS: usize = 4;
@@ -99,8 +104,9 @@
         "start"
     );
     let limit = descriptors::raise(settings.descriptors, MIN_DESCRIPTORS)?;
-    let rooms = Rooms::within(limit);
-    let shared = Rc::new(Shared::new(clock, gateway, dialect, rooms.callers));
+    let memory = Limit::find(settings.memory_mb)?;
+    let rooms = Rooms::within(limit, memory);
+    let shared = Rc::new(Shared::new(clock, gateway, dialect, rooms.callers, memory));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hangup = signal(SignalKind::hangup())?;
@@ -153,11 +159,12 @@
 }
 
 impl Rooms {
-    /// Divides the descriptors that the process may have.
-    fn within(limit: usize) -> Rooms {
-        let endpoints = (limit / ENDPOINTS_DIVISOR).max(MIN_ENDPOINTS);
+    /// Divides the descriptors and the memory that the process may have.
+    fn within(descriptors: usize, memory: Limit) -> Rooms {
+        let endpoints = (descriptors / ENDPOINTS_DIVISOR).max(MIN_ENDPOINTS);
         let callers =
-            limit.saturating_sub(OWN_DESCRIPTORS + 2 * endpoints) / DESCRIPTORS_PER_CALLER;
+            descriptors.saturating_sub(OWN_DESCRIPTORS + 2 * endpoints) / DESCRIPTORS_PER_CALLER;
+        let callers = callers.min(memory.heap / CALLERS_DIVISOR / (REQUEST_BYTES + OWN_BYTES));
         Rooms {
             callers: Room::new(callers.max(1)),
             endpoints: Room::new(endpoints),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use auburnline_admission::feature::Features;
+use auburnline_duty::memory::MIN_MEBIBYTES;
 use auburnline_gateway::gateway::Bounds;
 use auburnline_settings::Error;
 use auburnline_settings::Fault;
@@ -43,6 +44,9 @@
     pub store: SocketAddr,
     /// Maximum number of file descriptors of the process; at least 64.
     pub descriptors: usize,
+    /// Memory of the process in MiB, at least 32; what the system allows if absent.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
     /// Maximum time in ms for which a revoked key may still be accepted.
     pub revocation_ms: u64,
     /// Time in ms between the termination signal and the kill by the platform.
@@ -123,6 +127,8 @@
         );
         let is_few = self.descriptors < MIN_DESCRIPTORS;
         refuse("descriptors", is_few, "must be at least 64");
+        let is_small = self.memory_mb.is_some_and(|memory| memory < MIN_MEBIBYTES);
+        refuse("memory_mb", is_small, "must be at least 32");
         if faults.is_empty() {
             Ok(())
         } else {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use auburnline_core::time::Monotonic;
+use auburnline_duty::memory::Limit;
 use auburnline_gateway::Gateway;
 use auburnline_gateway::quarantine::StartTag;
 use auburnline_gateway::route::ServiceId;
@@ -27,10 +28,10 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::buffer::Pool;
 use crate::clock::Clock;
 use crate::crash;
 use crate::dialect::Dialect;
+use crate::memory::Pool;
 use crate::room::Room;
 use crate::shutdown::Schedule;
 use crate::source::log_changes;
@@ -79,8 +80,12 @@
     pub(crate) probed: RefCell<BTreeSet<StartTag>>,
     /// Wakes retries that wait for the answer to a question, or for its absence.
     pub(crate) probe_ended: Notify,
+    /// Memory that the process may have.
+    pub(crate) memory: Limit,
     /// Memory for the answers that are being received or passed on.
     pub(crate) answers: Pool,
+    /// Memory for the bodies of requests that are being received.
+    pub(crate) bodies: Pool,
     /// Number of gateways by which the retry budget was last divided; `None` while it is unknown.
     pub(crate) budget_members: Cell<Option<usize>>,
     /// Wakes the source when there may be something to read.
@@ -102,6 +107,7 @@
         gateway: Gateway,
         dialect: Rc<dyn Dialect>,
         room: Rc<Room>,
+        memory: Limit,
     ) -> Shared {
         Shared {
             clock,
@@ -115,7 +121,9 @@
             suspects: RefCell::default(),
             probed: RefCell::default(),
             probe_ended: Notify::new(),
-            answers: Pool::default(),
+            memory,
+            answers: Pool::new("answer", memory),
+            bodies: Pool::new("body", memory),
             budget_members: Cell::new(None),
             source_wakeup: Notify::new(),
             transferred: Notify::new(),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -24,13 +24,13 @@
 use metrics::histogram;
 use tokio::time::timeout;
 
-use crate::buffer::Buffer;
 use crate::exchange::Exchange;
 use crate::exchange::Sent;
 use crate::flight::Flight;
 use crate::head;
 use crate::head::Body;
 use crate::head::Broken;
+use crate::memory::Buffer;
 use crate::payment::Payment;
 use crate::telemetry::Timing;
 
@@ -40,6 +40,9 @@
 /// always ready would never time out.
 const MAX_LATE_BYTES: usize = 256 << 10;
 
+/// Cause of the end of a stream whose event was given up.
+const NO_MEMORY: &str = "no memory for an event that has not ended";
+
 /// A stream being passed on to a caller.
 struct Transfer {
     exchange: Exchange,
@@ -105,7 +108,7 @@
 
 impl Transfer {
     fn new(exchange: Exchange, reply: Reply, flight: Flight, after: Option<EventId>) -> Transfer {
-        let buffer = exchange.shared.answers.buffer();
+        let buffer = exchange.shared.answers.buffer(None);
         Transfer {
             exchange,
             is_success: reply.status.is_success(),
@@ -164,12 +167,13 @@
                 return Next::Break("event exceeds its size limit");
             }
             if !self.buffer.resize(self.splitter.buffered()) {
-                return Next::Break("no memory for an event that has not ended");
+                return Next::Break(NO_MEMORY);
             }
             let left = self.exchange.time_left();
             let since = self.last_at.unwrap_or_default().max(self.flight.began());
             let part = tokio::select! {
                 biased;
+                () = self.buffer.given_up() => return Next::Break(NO_MEMORY),
                 part = timeout(left, self.body.next()) => part,
                 () = self.exchange.straggler_detected(self.flight.target(), Payment::AtSend), if !self.is_settled => {
                     return Next::Slow("rank became a straggler; resuming at another rank");
@@ -195,6 +199,7 @@
                 self.record_events(events.count as u64);
             }
             if !events.bytes.is_empty() {
+                self.buffer.record_passed_on(events.bytes.len());
                 return Next::Events(events.bytes.into());
             }
         }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 
 use auburnline_duty::descriptors;
+use auburnline_duty::memory::Limit;
 use auburnline_duty::metrics;
 use auburnline_duty::program;
 use auburnline_duty::scrape;
@@ -46,6 +47,7 @@
         "start"
     );
     descriptors::raise(WANTED_DESCRIPTORS, MIN_DESCRIPTORS)?;
+    Limit::find(settings.memory_mb)?;
     let socket = UdpSocket::bind(settings.peers).await?;
     let listener = TcpListener::bind(settings.metrics).await?;
     let serving = scrape::serve(listener, metrics);
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use auburnline_duty::memory::MIN_MEBIBYTES;
 use auburnline_settings::Error;
 use auburnline_settings::Fault;
 use auburnline_settings::Reason;
@@ -26,6 +27,9 @@
     pub service: String,
     /// Bandwidth of the instance's link in megabits per second.
     pub link_mbps: f64,
+    /// Memory of the process in MiB, at least 32; what the system allows if absent.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
 }
 
 impl auburnline_settings::Settings for Settings {
@@ -41,6 +45,9 @@
         if !is_link {
             faults.push(fault("link_mbps", "is not a positive number"));
         }
+        if self.memory_mb.is_some_and(|memory| memory < MIN_MEBIBYTES) {
+            faults.push(fault("memory_mb", "is less than 32"));
+        }
         if faults.is_empty() {
             Ok(())
         } else {
