Entries reserve memory for bodies, slots bound requests and answers by it

The same cause as at gateways, elsewhere: an entry read as many bodies at once as it had connections, and the queue of a slot counted requests, not bytes. The queue's test is new with the bound.

--- a/crates/caller/src/failure.rs
+++ b/crates/caller/src/failure.rs
@@ -100,6 +100,7 @@
     fn from(error: HttpError) -> Problem {
         let kind = match error.status_code.as_u16() {
             408 => Kind::SlowSender,
+            503 => Kind::Overloaded,
             413 => Kind::TooLarge,
             404 | 405 => Kind::UnknownRoute,
             400..500 => Kind::BadRequest,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -8,6 +8,7 @@
 use auburnline_caller::command::Command;
 use auburnline_duty::clock::Clock;
 use auburnline_duty::logging;
+use auburnline_duty::memory::Limit;
 use auburnline_duty::metrics;
 use auburnline_duty::ring;
 use auburnline_duty::thread::Thread;
@@ -58,6 +59,7 @@
     let decisions = logging::start(settings.limits.max_decisions)?;
     let recorder = metrics::install()?;
     let connections = descriptors::connections(settings.limits.max_connections)?;
+    Limit::find(settings.limits.max_memory_mb)?;
     let clock = Clock::start();
     let incarnation = incarnation();
     let (events, inbox) = ring::bounded(EVENTS);
--- a/crates/limits/examples/cost.rs
+++ b/crates/limits/examples/cost.rs
@@ -107,6 +107,7 @@
         weight: 1,
         priority: Priority::Normal,
         tokens: 500,
+        bytes: 0,
         deadline: now + Duration::from_hours(24),
     }
 }
--- a/crates/limits/examples/table/overload.rs
+++ b/crates/limits/examples/table/overload.rs
@@ -90,6 +90,7 @@
                 weight: 1,
                 priority: job.priority,
                 tokens: job.tokens,
+                bytes: 0,
                 deadline: job.deadline,
             },
         );
--- a/crates/limits/src/queue/mod.rs
+++ b/crates/limits/src/queue/mod.rs
@@ -59,6 +59,8 @@
     pub priority: Priority,
     /// Prompt tokens plus the maximum number of tokens to generate.
     pub tokens: u64,
+    /// Bytes that the request takes until it has finished.
+    pub bytes: usize,
     /// Time by which the request must have finished.
     pub deadline: Monotonic,
 }
@@ -68,6 +70,7 @@
     workspace: WorkspaceId,
     position: Position,
     tokens: u64,
+    bytes: usize,
     deadline: Monotonic,
     since: Monotonic,
 }
@@ -76,6 +79,7 @@
 struct Running {
     workspace: WorkspaceId,
     tokens: u64,
+    bytes: usize,
     since: Monotonic,
     /// Whether it was started to measure how fast an idle upstream is now.
     probe: bool,
@@ -100,6 +104,8 @@
     sequence: u64,
     queued_tokens: u64,
     running_tokens: u64,
+    /// Bytes of queued and running requests.
+    bytes: usize,
     /// Sum of weights of the flows with queued requests.
     total_weight: u64,
 }
@@ -122,6 +128,7 @@
             sequence: 0,
             queued_tokens: 0,
             running_tokens: 0,
+            bytes: 0,
             total_weight: 0,
         }
     }
@@ -179,6 +186,7 @@
             return false;
         };
         self.running_tokens -= running.tokens;
+        self.bytes -= running.bytes;
         self.last_finish = now;
         let took = now.saturating_sub(running.since);
         if running.probe {
@@ -275,6 +283,9 @@
             self.by_virtual_time.len(),
             "flows by virtual time"
         );
+        let queued: usize = self.items.values().map(|item| item.bytes).sum();
+        let running: usize = self.running.values().map(|run| run.bytes).sum();
+        assert_eq!(queued + running, self.bytes, "bytes");
         assert_eq!(self.by_tag.len(), self.by_backlog.len(), "flows by backlog");
         assert!(
             self.items.len() <= self.settings.max_queued,
@@ -325,9 +336,12 @@
 
     /// Makes room for `request` in a full queue by shedding the last request of the flow with the largest backlog.
     ///
-    /// Fails unless the request's flow, with the request included, stays smaller than that flow, or both are the same
+    /// Fails if the request needs more bytes than are left, and unless its flow, with the request included, stays smaller than that flow, or both are the same
     /// flow and the shed request has the lower priority.
     fn make_room(&mut self, now: Monotonic, request: &Waiting<K>) -> Result<Option<Shed<K>>, ()> {
+        if self.bytes.saturating_add(request.bytes) > self.settings.max_bytes {
+            return Err(());
+        }
         if self.items.len() < self.settings.max_queued {
             return Ok(None);
         }
@@ -366,12 +380,14 @@
         self.link(&workspace);
         let item = self.remove(&key);
         self.running_tokens += tokens;
+        self.bytes += item.bytes;
         let probe = self.may_probe(now);
         self.running.insert(
             key.clone(),
             Running {
                 workspace: workspace.clone(),
                 tokens,
+                bytes: item.bytes,
                 since: now,
                 probe,
             },
--- a/crates/limits/src/queue/order.rs
+++ b/crates/limits/src/queue/order.rs
@@ -31,12 +31,14 @@
         flow.weight = request.weight.max(1);
         flow.push(position, request.key.clone(), request.tokens);
         self.queued_tokens += request.tokens;
+        self.bytes += request.bytes;
         self.items.insert(
             request.key,
             Item {
                 workspace: request.workspace.clone(),
                 position,
                 tokens: request.tokens,
+                bytes: request.bytes,
                 deadline: request.deadline,
                 since: now,
             },
@@ -51,6 +53,7 @@
             .expect("the caller checked that the key is queued");
         self.unlink(&item.workspace);
         self.queued_tokens -= item.tokens;
+        self.bytes -= item.bytes;
         if let Some(flow) = self.flows.get_mut(&item.workspace) {
             flow.remove(item.position, item.tokens);
         }
--- a/crates/limits/src/queue/outcome.rs
+++ b/crates/limits/src/queue/outcome.rs
@@ -35,7 +35,7 @@
     DeadlinePassed,
     /// It was predicted to miss its deadline.
     WouldMissDeadline,
-    /// The queue is full, and no flow has a large enough backlog to displace a request from it.
+    /// The request needs more bytes than are left, or the queue is full and no flow has a large enough backlog to displace a request from it.
     QueueFull,
     /// It was the last request of the flow with the largest backlog, and was shed from a full queue for another
     /// request.
--- a/crates/limits/src/queue/settings.rs
+++ b/crates/limits/src/queue/settings.rs
@@ -9,6 +9,7 @@
 pub struct Settings {
     pub(super) max_running: usize,
     pub(super) max_queued: usize,
+    pub(super) max_bytes: usize,
     pub(super) token_time: Duration,
     pub(super) wait_tolerance: f64,
     pub(super) head_starts: [u64; 3],
@@ -22,6 +23,7 @@
         Builder(Settings {
             max_running: 32,
             max_queued: 1024,
+            max_bytes: usize::MAX,
             token_time: Duration::from_millis(2),
             wait_tolerance: 1.0,
             head_starts: [0, 4_096, 16_384],
@@ -64,6 +66,13 @@
         self
     }
 
+    /// Sets the maximum bytes of queued and running requests together.
+    #[must_use]
+    pub fn max_bytes(mut self, bytes: usize) -> Self {
+        self.0.max_bytes = bytes;
+        self
+    }
+
     /// Sets the initial estimate of a running request's time per token charged.
     #[must_use]
     pub fn token_time(mut self, time: Duration) -> Self {
--- a/crates/limits/tests/queue.rs
+++ b/crates/limits/tests/queue.rs
@@ -28,6 +28,9 @@
     value
 }
 
+/// Maximum bytes of the requests of a random run.
+const MAX_BYTES: usize = 8 << 20;
+
 fn request(key: u64, workspace: &str, tokens: u64) -> Waiting<u64> {
     Waiting {
         key,
@@ -35,6 +38,7 @@
         weight: 1,
         priority: Priority::Normal,
         tokens,
+        bytes: 0,
         deadline: Duration::from_secs(1000),
     }
 }
@@ -77,7 +81,10 @@
 
 fn random_run(start: u64, events: u64) -> Trace {
     let mut rng = ChaCha8Rng::seed_from_u64(start);
-    let settings = Settings::builder().max_running(4).max_queued(40);
+    let settings = Settings::builder()
+        .max_running(4)
+        .max_queued(40)
+        .max_bytes(MAX_BYTES);
     let mut queue = Queue::new(settings.build());
     let mut trace = Trace::default();
     let mut now = Duration::ZERO;
@@ -88,6 +95,7 @@
                 let new = Waiting {
                     weight: rng.random_range(1..4),
                     priority: PRIORITIES[rng.random_range(0..3)],
+                    bytes: rng.random_range(0..1 << 20),
                     deadline: now + Duration::from_millis(rng.random_range(0..20_000)),
                     ..request(
                         key,
@@ -320,3 +328,41 @@
     expect_that!(starts_after_a_stall(4), eq(400));
     expect_that!(starts_after_a_stall(1), ge(390));
 }
+
+/// Guards against a slot whose memory long prompts fill while its queue counts requests alone.
+#[gtest]
+fn a_request_that_needs_more_bytes_than_are_left_is_refused() {
+    let settings = Settings::builder().max_running(1).max_bytes(100);
+    let mut queue = Queue::new(settings.build());
+    let long = |key| Waiting {
+        bytes: 60,
+        ..request(key, "a", 1)
+    };
+    assert_that!(
+        queue.push(Duration::ZERO, long(1)),
+        matches_pattern!(Pushed::Queued { .. })
+    );
+    let refused = queue.push(Duration::ZERO, long(2));
+    let Pushed::Refused(refused) = refused else {
+        panic!("there is no room");
+    };
+    assert_that!(refused.reason, eq(Reason::QueueFull));
+    expect_that!(
+        queue.push(Duration::ZERO, request(3, "a", 1)),
+        matches_pattern!(Pushed::Queued { .. })
+    );
+    expect_that!(
+        queue.pop(Duration::ZERO).started.map(|one| one.key),
+        some(eq(1))
+    );
+    expect_that!(
+        queue.push(Duration::ZERO, long(4)),
+        matches_pattern!(Pushed::Refused(_))
+    );
+    queue.finish(Duration::ZERO, &1, 1);
+    expect_that!(
+        queue.push(Duration::ZERO, long(5)),
+        matches_pattern!(Pushed::Queued { .. })
+    );
+    queue.assert_consistent();
+}
--- a/crates/retries/examples/metastable.rs
+++ b/crates/retries/examples/metastable.rs
@@ -158,6 +158,7 @@
             weight: 1,
             priority: Priority::Normal,
             tokens: 1,
+            bytes: 0,
             deadline: now + TIMEOUT,
         };
         if let Pushed::Refused(refused) = self.fair_queue.push(now, waiting) {
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -29,6 +29,9 @@
     pub max_answer_bytes: usize,
     /// Number of decision lines stored for operators.
     pub max_decisions: usize,
+    /// Memory of the process in MiB, at least 32; what the system allows if absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max_memory_mb: Option<usize>,
 }
 
 impl Default for Limits {
@@ -42,6 +45,7 @@
             max_running: 64,
             max_answer_bytes: 32 << 20,
             max_decisions: 4_096,
+            max_memory_mb: None,
         }
     }
 }
@@ -64,5 +68,8 @@
         for (path, value) in self.fields() {
             check::number(path, value as u64, MAX_LIMIT, faults);
         }
+        if let Some(memory) = self.max_memory_mb {
+            check::number("limits.max_memory_mb", memory as u64, MAX_LIMIT, faults);
+        }
     }
 }
--- a/crates/slot/src/run.rs
+++ b/crates/slot/src/run.rs
@@ -7,6 +7,7 @@
 
 use auburnline_duty::clock::Clock;
 use auburnline_duty::logging;
+use auburnline_duty::memory::Limit;
 use auburnline_duty::metrics;
 use auburnline_duty::ring;
 use auburnline_duty::thread::Thread;
@@ -55,6 +56,7 @@
     let decisions = logging::start(settings.limits.max_decisions)?;
     let recorder = metrics::install()?;
     let connections = descriptors::connections(settings.limits.max_connections)?;
+    let memory = Limit::find(settings.limits.max_memory_mb)?;
     let lock = hold(&settings)?;
     let clock = Clock::start();
     let incarnation = incarnation();
@@ -106,7 +108,7 @@
         platform,
     };
     Thread::start("decide", move || async move {
-        State::new(settings, clock, incarnation, ways)
+        State::new(settings, memory, clock, incarnation, ways)
             .run(inbox)
             .await;
         drop(operator);
--- a/crates/slot/src/state.rs
+++ b/crates/slot/src/state.rs
@@ -22,6 +22,7 @@
 use auburnline_core::load::Report;
 use auburnline_core::time::Monotonic;
 use auburnline_duty::clock::Clock;
+use auburnline_duty::memory::Limit;
 use auburnline_duty::ring;
 use auburnline_limits::queue;
 use auburnline_limits::queue::Queue;
@@ -45,6 +46,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Least time that a slot which leaves answers those who have not heard of it.
 const LINGER: Duration = Duration::from_secs(1);
+/// Part of the heap for requests, and for the answers that are kept: a quarter each.
+const PARTS: usize = 4;
 /// Events taken at once.
 const BATCH: usize = 1024;
 
@@ -78,16 +81,23 @@
 
 impl State {
     /// Makes the state of a slot that has just started.
-    pub(crate) fn new(settings: Slot, clock: Clock, incarnation: Incarnation, ways: Ways) -> State {
+    pub(crate) fn new(
+        settings: Slot,
+        memory: Limit,
+        clock: Clock,
+        incarnation: Incarnation,
+        ways: Ways,
+    ) -> State {
         let now = clock.now();
         let bounds = Bounds {
-            bytes: settings.limits.max_answer_bytes,
+            bytes: settings.limits.max_answer_bytes.min(memory.heap / PARTS),
             answer: settings.timing.answer_lifetime(),
             ..Bounds::default()
         };
         let queue = queue::Settings::builder()
             .max_running(settings.limits.max_running)
             .max_queued(settings.limits.max_in_flight)
+            .max_bytes(memory.heap / PARTS)
             .build();
         let exchange = Exchange::new(
             settings.instance.clone(),
--- a/crates/slot/src/state/work.rs
+++ b/crates/slot/src/state/work.rs
@@ -37,6 +37,11 @@
 /// Weight of a workspace that is not published here yet.
 const DEFAULT_WEIGHT: u32 = 1;
 
+/// Bytes of a request beside its text.
+const OWN_BYTES: usize = 2 << 10;
+/// Copies of its text: the request, and the message to the upstream.
+const COPIES: usize = 2;
+
 /// A request that was admitted and has not started, or runs.
 pub(crate) struct Job {
     work: Option<Box<Work>>,
@@ -97,6 +102,7 @@
             weight: self.weight(&request.workspace),
             priority: request.priority,
             tokens,
+            bytes: bytes(&request.work),
             deadline: now + request.deadline,
         };
         let job = Job {
@@ -292,6 +298,15 @@
     }
 }
 
+/// Returns how many bytes of memory a request takes until it has finished.
+fn bytes(work: &Work) -> usize {
+    let text = match work {
+        Work::Draft { model, prompt, .. } => model.len() + prompt.len(),
+        Work::Call { path, body, .. } => path.len() + body.len(),
+    };
+    OWN_BYTES + COPIES * text
+}
+
 /// Splits a frame into the request and what the ledger wants to know of it.
 fn split(submit: &Submit) -> (Request, Submission) {
     let known = |attempt: Attempt| (attempt > 0).then_some(attempt);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod experts;
 mod limits;
+mod memory;
 mod once;
 mod recovery;
 mod rehearsal;
