A request is not sent again where it would outlast the grace period

Cause: the check of what is sent in a shutdown let everything go on that may have run. A retry that ends in time is sent as before. Evidence: a_request_is_not_sent_again_where_it_would_outlast_the_grace_period: the other upstream got the retry before, nothing now.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -123,16 +123,17 @@
         }
     }
 
-    /// Returns the refusal of a request that no upstream has got and that is too late in a shutdown to be sent, or would usually
-    /// outlast it.
+    /// Returns the refusal of a request that would usually outlast a shutdown, or that no upstream has got and that is too late in
+    /// it to be sent.
     pub(crate) fn shutdown_refusal(&self) -> Option<Refusal> {
-        if self.may_have_run.get() || !self.shared.is_leaving() {
+        if !self.shared.is_leaving() {
             return None;
         }
         let now = self.shared.now();
         let usual = self.shared.gateway().longest_duration(&self.plan, now);
         let outlasts = usual.is_some_and(|usual| self.shared.ends_within(usual));
-        let is_late = outlasts || self.shared.phase() >= Phase::Refusing;
+        let is_new = !self.may_have_run.get();
+        let is_late = outlasts || is_new && self.shared.phase() >= Phase::Refusing;
         is_late
             .then(|| Refusal::new(Kind::Leaving, "shutting down").with_retry_after(RETRY_ELSEWHERE))
     }
