--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -131,8 +131,10 @@
     if length.is_some_and(|length| length > MAX_ANSWER_BYTES) {
         return None;
     }
-    if let Some(length) = length {
-        buffer.reserve(length).await;
+    if let Some(length) = length
+        && !buffer.reserve(length).await
+    {
+        return None;
     }
     let given_up = buffer.given_up();
     let has_room = |bytes| {
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -40,7 +40,6 @@
 const PASSED_ON_UNIT: usize = 4 << 10;
 /// Divisor of what a buffer holds whose sender said how much it will send: it ends.
 const LENGTH_DIVISOR: usize = 8;
-
 /// Interval at which memory that is waited for is looked at again: the heap shrinks unnoticed.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -142,15 +141,19 @@
 }
 
 impl State {
-    fn has_room(&self, growth: usize, has_length: bool) -> bool {
+    /// Returns the most bytes of all buffers together up to which one may grow.
+    fn most(&self, has_length: bool) -> usize {
         let divisor = if has_length {
             LENGTH_KNOWN_DIVISOR
         } else {
             ENDLESS_DIVISOR
         };
-        let most = (self.limit.heap / divisor).min(MAX_POOL_BYTES);
+        (self.limit.heap / divisor).min(MAX_POOL_BYTES)
+    }
+
+    fn has_room(&self, growth: usize, has_length: bool) -> bool {
         let leaving = self.leaving.get();
-        self.taken.get() + growth <= most + leaving
+        self.taken.get() + growth <= self.most(has_length) + leaving
             && self
                 .limit
                 .has_room(growth.saturating_sub(leaving), GROWTH_PERCENT)
@@ -209,14 +212,17 @@
         self.take(bytes.saturating_mul(GROWTH_FACTOR))
     }
 
-    /// Waits until there is room for all bytes that the sender said it will send.
-    pub(crate) async fn reserve(&mut self, bytes: usize) {
+    /// Waits until there is room for all bytes that the sender said it will send; returns `false` if there never is.
+    pub(crate) async fn reserve(&mut self, bytes: usize) -> bool {
+        if bytes > self.pool.0.most(true) {
+            return false;
+        }
         let taken = Arc::clone(&self.pool.0.taken);
         loop {
             let freed = taken.freed.notified();
             if self.pool.0.make_room(bytes) {
                 self.set_held(bytes);
-                return;
+                return true;
             }
             tokio::select! {
                 () = freed => {}
