An entry answers what is under way when its drain deadline is over

Cause: the process closed its connections with requests under way; only gateways answered them. Class: what is let go before somebody was told. Now each is answered that its outcome is unknown, streams with a last event of that kind. Evidence: a_draft_that_outlasts_the_drain_deadline_of_its_entry_is_answered: lost after its text so far before, outcome_unknown now. Ruled out: the same at a slot; its entry reads the answer on, and the draft was whole on the code before too (a test holds that now).

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -181,11 +181,26 @@
                 self.command(command);
             }
         }
+        self.fail_all();
         let _ = self.ways.close.send(());
         let bound = self.settings.timing.slow_sender();
         let _ = tokio::time::timeout(bound, self.ways.served).await;
     }
 
+    /// Answers what is still under way: a connection that closes would tell its caller nothing.
+    fn fail_all(&mut self) {
+        let exchanges = std::mem::take(&mut self.exchanges).into_values();
+        let reads = std::mem::take(&mut self.reads).into_values();
+        let parts = exchanges.map(|exchange| exchange.parts).chain(reads);
+        for parts in parts {
+            fail(
+                &parts,
+                Kind::OutcomeUnknown,
+                "this entry ends; ask another one",
+            );
+        }
+    }
+
     fn take(&mut self, event: Event) {
         match event {
             Event::Peer(event) => self.peer(event),
--- a/tests/all/drain.rs
+++ b/tests/all/drain.rs
@@ -173,3 +173,44 @@
     assert_that!(reply.fate(), eq(Fate::Unknown), "{reply:?}");
     assert_that!(deployment.runs(crate::support::WORKSPACE, "cut"), eq(1));
 }
+
+/// Tokens of a draft that outlasts the drain deadline: about eight seconds.
+const LASTING_TOKENS: u32 = 1_600;
+/// Time that a process has to drain.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// Runs a draft that outlasts the drain deadline, and tells the process of this name to stop once it streams; returns its reply.
+fn outlast(stop: impl FnOnce(&Deployment) -> String) -> Reply {
+    let mut deployment = deploy(shape().drain(DRAIN));
+    let entry = deployment.entry("entry-1");
+    let wish = Wish::draft("long", LASTING_TOKENS).attempt("held", 1, Duration::ZERO);
+    let (reply, name) = std::thread::scope(|scope| {
+        let stream = scope.spawn(move || Caller::default().send(entry, &wish));
+        deployment.until("the draft runs", || {
+            let runs = deployment.runs(crate::support::WORKSPACE, "held");
+            (runs > 0).then_some(())
+        });
+        let name = stop(&deployment);
+        deployment.signal(&name, Signal::Terminate);
+        (stream.join().expect("a reply"), name)
+    });
+    let process = deployment.process(&name).expect("a process");
+    process.wait(LONG).expect("a wait");
+    reply
+}
+
+/// Guards against a request that is cut without a word as its entry ends, though its caller could be told.
+#[gtest]
+fn a_draft_that_outlasts_the_drain_deadline_of_its_entry_is_answered() {
+    let reply = outlast(|_| "entry-1".to_owned());
+    expect_that!(reply.kind(), some(eq(Kind::OutcomeUnknown)));
+    expect_that!(reply.fate(), eq(Fate::Unknown));
+}
+
+/// Guards against the same as its slot ends, whose callers are at an entry that does not.
+#[gtest]
+fn a_draft_that_outlasts_the_drain_deadline_of_its_slot_is_answered() {
+    let reply = outlast(|deployment| slot_of(deployment, "held"));
+    let is_whole = reply == Reply::Whole(expected("held", "long", LASTING_TOKENS));
+    expect_that!(is_whole || reply.kind().is_some(), eq(true));
+}
