--- a/crates/duty/src/memory.rs
+++ b/crates/duty/src/memory.rs
@@ -8,6 +8,7 @@
 
 use std::alloc::System;
 use std::fs;
+use std::io;
 use std::path::Path;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicUsize;
@@ -69,7 +70,7 @@
     /// # Errors
     ///
     /// Returns an error that names the limit if it is too low to run.
-    pub fn find(wanted: Option<usize>) -> std::io::Result<Limit> {
+    pub fn find(wanted: Option<usize>) -> io::Result<Limit> {
         let allowed = allowed();
         let wanted = wanted.map(|mebibytes| mebibytes.saturating_mul(MEBIBYTE));
         let limit = Limit::of(allowed.min(wanted.unwrap_or(usize::MAX)));
@@ -88,7 +89,7 @@
                 "{} MiB of memory are allowed where at least {MIN_MEBIBYTES} are needed",
                 limit.process / MEBIBYTE
             );
-            return Err(std::io::Error::other(text));
+            return Err(io::Error::other(text));
         }
         if wanted.is_some_and(|wanted| limit.process < wanted) {
             log::warn!(target: "process", wanted:?, limit = limit.process; "the system allows less memory than the settings");
