--- a/tests/all/drain.rs
+++ b/tests/all/drain.rs
@@ -214,3 +214,60 @@
     let is_whole = reply == Reply::Whole(expected("held", "long", LASTING_TOKENS));
     expect_that!(is_whole || reply.kind().is_some(), eq(true));
 }
+
+/// Time that a process has to drain while requests come, and the number of parts of it at whose starts they do.
+const LONG_DRAIN: Duration = Duration::from_secs(6);
+const TENTHS: u32 = 10;
+
+/// Tells a process to stop while a draft keeps it, and sends a short draft to an entry at each tenth of its time to drain; returns the
+/// replies.
+fn at_each_tenth(to: &str, stop: impl Fn(&Deployment) -> String) -> Vec<Reply> {
+    let deployment = deploy(shape().drain(LONG_DRAIN));
+    let held = deployment.entry("entry-1");
+    let entry = deployment.entry(to);
+    let wish = Wish::draft("long", LASTING_TOKENS).attempt("held", 1, Duration::ZERO);
+    std::thread::scope(|scope| {
+        scope.spawn(move || Caller::default().send(held, &wish));
+        deployment.until("the draft runs", || {
+            let runs = deployment.runs(crate::support::WORKSPACE, "held");
+            (runs > 0).then_some(())
+        });
+        deployment.signal(&stop(&deployment), Signal::Terminate);
+        let stopped = std::time::Instant::now();
+        let replies = (0..TENTHS).map(|tenth| {
+            let at = LONG_DRAIN * tenth / TENTHS;
+            std::thread::sleep(at.saturating_sub(stopped.elapsed()));
+            let key = format!("tenth-{tenth}");
+            let wish = Wish::draft("short", 2).attempt(&key, 1, Duration::ZERO);
+            Caller::default().send(entry, &wish)
+        });
+        replies.collect()
+    })
+}
+
+/// Guards against an entry that takes on what comes at any tenth of its time to drain, and cuts it at the end.
+#[gtest]
+fn what_comes_at_each_tenth_of_the_drain_of_an_entry_is_served_or_told_not_to_have_run() {
+    let replies = at_each_tenth("entry-1", |_| "entry-1".to_owned());
+    let of = |tenth: usize| expected(&format!("tenth-{tenth}"), "short", 2);
+    for (tenth, reply) in replies.iter().enumerate() {
+        let is_whole = *reply == Reply::Whole(of(tenth));
+        println!(
+            "entry, tenth {tenth}: {:?} {:?}",
+            reply.kind(),
+            reply.fate()
+        );
+        expect_that!(is_whole || reply.fate() == Fate::NotRun, eq(true));
+    }
+}
+
+/// Guards against the same at a slot, beside which another one can take what comes.
+#[gtest]
+fn what_comes_at_each_tenth_of_the_drain_of_a_slot_is_served() {
+    let replies = at_each_tenth("entry-2", |deployment| slot_of(deployment, "held"));
+    for (tenth, reply) in replies.iter().enumerate() {
+        println!("slot, tenth {tenth}: {:?} {:?}", reply.kind(), reply.fate());
+        let whole = Reply::Whole(expected(&format!("tenth-{tenth}"), "short", 2));
+        expect_that!(*reply == whole, eq(true));
+    }
+}
