--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -34,7 +34,7 @@
 /// Percentage of the heap beyond which no request is taken on.
 const REQUEST_PERCENT: usize = 75;
 /// Bytes that a request may take with the connections of its caller and its upstream, in addition to its body and its answer.
-pub(crate) const REQUEST_BYTES: usize = 64 << 10;
+pub(crate) const REQUEST_BYTES: usize = 48 << 10;
 /// Bytes passed on for which a buffer counts as holding half as much.
 const PASSED_ON_UNIT: usize = 4 << 10;
 /// Divisor of what a buffer holds whose sender said how much it will send: it ends.
