Entries bound what the system receives ahead on a connection

What callers saw: an entry that may have 64 MiB reached 86 to 103 under 160 callers with bodies of 1 MiB. Cause: the HTTP server's read buffer of a connection grows up to 400 KiB, to what one read brings, and dropshot does not let it be set. The listener's receive buffer is 32 KiB now, which its connections take over, so that one read brings no more than that.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -84,6 +84,9 @@
             // Answers are right all the same, only later.
             log::warn!(target: "caller", error:% = error; "tokens may wait for acknowledgements");
         }
+        if let Err(error) = socket::bound_receiving(&server) {
+            log::warn!(target: "caller", error:% = error; "connections may take more memory");
+        }
         Ok(Server(server))
     }
 
--- a/crates/caller/src/socket.rs
+++ b/crates/caller/src/socket.rs
@@ -1,9 +1,12 @@
-//! The setting of sockets that `dropshot` does not offer.
+//! The settings of sockets that `dropshot` does not offer.
 //!
 //! Without `TCP_NODELAY` the system holds a token back until the caller has acknowledged the one
 //! before it, which callers that keep connections do some 40 ms late. On Linux a connection takes
-//! the setting of the listener that accepted it, so it is set there, once. `dropshot` keeps its
+//! the settings of the listener that accepted it, so they are set there, once. `dropshot` keeps its
 //! listener to itself; it is found among this process's descriptors by its port.
+//!
+//! The HTTP library's read buffer grows to what one read brings, which the receive buffer of the
+//! connection bounds.
 
 use std::collections::BTreeSet;
 use std::fs;
@@ -26,6 +29,19 @@
 const STATE: usize = 3;
 const INODE: usize = 9;
 
+/// Receive buffer of a connection, in bytes.
+const RECEIVE_BYTES: usize = 32 << 10;
+
+/// Bounds what the system receives ahead on all connections to come.
+///
+/// # Errors
+///
+/// The system's error if the listener can't be found or set.
+pub(crate) fn bound_receiving<C: ServerContext>(server: &HttpServer<C>) -> io::Result<()> {
+    let set = |listener: &SockRef| listener.set_recv_buffer_size(RECEIVE_BYTES);
+    each(server, set).map(|_| ())
+}
+
 /// Lets all connections to come send what is written at once.
 ///
 /// # Errors
