--- a/tests/all/drain.rs
+++ b/tests/all/drain.rs
@@ -38,7 +38,11 @@
             (runs > 0).then_some(())
         });
         then(deployment);
-        stream.join().expect("a reply")
+        let reply = stream.join().expect("a reply");
+        if !matches!(reply, Reply::Whole(_)) {
+            deployment.print_logs();
+        }
+        reply
     })
 }
 
