Crashes of parts: how many are known at each crash, and what clears them

Neither logs nor metrics told whether a part is not held because its crashes do not count, because they are not kept, or because an answer cleared them.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -269,6 +269,13 @@
         self.parts.marks(now)
     }
 
+    /// Returns how many crashes are known of each of these parts that no answer has cleared.
+    #[must_use]
+    pub fn known_crashes(&self, parts: &[Part]) -> Vec<usize> {
+        let counts = parts.iter().map(|part| self.parts.known_crashes(*part));
+        counts.collect()
+    }
+
     /// Returns the number of parts in quarantine.
     #[must_use]
     pub fn held_parts(&self) -> usize {
--- a/crates/gateway/src/quarantine/table.rs
+++ b/crates/gateway/src/quarantine/table.rs
@@ -54,6 +54,12 @@
         &self.holds
     }
 
+    /// Returns how many crashes are known of a part that no answer has cleared.
+    pub(super) fn known_crashes(&self, part: Part) -> usize {
+        let record = self.records.get(&part);
+        record.map_or(0, |record| record.crashes.len())
+    }
+
     /// Records a crash of an upstream; returns whether that is news.
     pub(super) fn crashed(
         &mut self,
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -153,9 +153,7 @@
             gateway.quarantine.answered(self.fingerprint(), now);
         }
         if is_success {
-            gateway
-                .quarantine
-                .parts_sound(self.parts(), Proof::Answered, now);
+            self.record_sound(&mut gateway, Proof::Answered, now);
         }
     }
 
@@ -164,9 +162,19 @@
         let now = self.shared.now();
         let mut gateway = self.shared.gateway();
         if is_first || !gateway.quarantine.is_empty() {
-            gateway
-                .quarantine
-                .parts_sound(self.parts(), Proof::Survived, now);
+            self.record_sound(&mut gateway, Proof::Survived, now);
+        }
+    }
+
+    /// Records that the parts of the prompt are sound, and logs the crashes that this clears.
+    fn record_sound(&self, gateway: &mut Gateway, proof: Proof, now: Monotonic) {
+        let quarantine = &mut gateway.quarantine;
+        let before = quarantine.known_crashes(self.parts());
+        quarantine.parts_sound(self.parts(), proof, now);
+        let known = quarantine.known_crashes(self.parts());
+        if known != before {
+            log::info!(target: "crashes", request = self.id(), parts:? = hex(self.parts()), before:?, known:?, proof:?; "crashes cleared");
+            counter!("auburnline_cleared_crashes_total").increment(1);
         }
     }
 }
@@ -225,12 +233,14 @@
         let quarantine = &mut gateway.quarantine;
         let is_held = quarantine.crashed(attempt.request, start, attempt.given_up);
         let held = quarantine.parts_crashed(&attempt.parts, start, attempt.stage, attempt.given_up);
+        let known = quarantine.known_crashes(&attempt.parts);
         drop(gateway);
         log::info!(
             target: "crashes",
             request = attempt.id.as_str(),
             fingerprint = attempt.request,
             parts:? = hex(&attempt.parts),
+            known:?,
             stage:? = attempt.stage,
             upstream = &*attempt.upstream.id,
             start = format!("{start:016x}").as_str(),
