--- a/crates/gateway/tests/all/crash_loop/mod.rs
+++ b/crates/gateway/tests/all/crash_loop/mod.rs
@@ -9,6 +9,7 @@
 use googletest::prelude::*;
 
 use self::world::Day;
+use self::world::Ending;
 use self::world::Prompts;
 use self::world::Trouble;
 use self::world::Way;
@@ -31,6 +32,15 @@
     Trouble::PowerLosses,
 ];
 
+const ALL_ENDINGS: [Ending; 6] = [
+    Ending::BeforeHead,
+    Ending::AfterHead,
+    Ending::AfterEvents(5),
+    Ending::AfterEvents(15),
+    Ending::Silent,
+    Ending::Anywhere,
+];
+
 /// Two bad parts that share a sound one, while no gateway remembers answers from before. What is wrong with the verdict then is
 /// checked by a test of its own.
 const INDISTINCT: (Prompts, Trouble) = (Prompts::TwoBad, Trouble::AllRestart);
@@ -43,9 +53,13 @@
     let related = 100 * outcome.related_held / outcome.related.max(1);
     let late = outcome.late();
     println!(
-        "{way:?}, {} gateways, {:?}, {:?}, seed {}: {} crashes, {late} late, {held}% held, {related}% of related, {} marks",
+        "{way:?}, {} gateways, {} groups of {}, {} bad, {:?}, {:?}, {:?}, seed {}: {} crashes, {late} late, {held}% held, {related}% of related, {} marks",
         day.gateways,
+        day.groups,
+        day.ranks,
+        day.bad,
         day.prompts,
+        day.ending,
         day.trouble,
         day.seed,
         outcome.crashes.len(),
@@ -81,6 +95,66 @@
     }
 }
 
+/// Guards against crashes that do not count because of how much of the answer had arrived by then.
+#[gtest]
+fn a_bad_part_is_held_in_time_wherever_in_the_answer_its_upstreams_crash() {
+    for seed in 0..2 {
+        for ending in ALL_ENDINGS {
+            for trouble in ALL_TROUBLES {
+                for prompts in [Prompts::AnyFirst, Prompts::OneFirst, Prompts::BadFirst] {
+                    check(Day {
+                        prompts,
+                        ending,
+                        trouble,
+                        seed,
+                        ..Day::new(6)
+                    });
+                }
+            }
+        }
+    }
+}
+
+/// Guards against the same before upstreams that crash alone, with few bad requests and with many.
+#[gtest]
+fn a_bad_part_is_held_in_time_before_upstreams_without_groups() {
+    for seed in 0..2 {
+        for ending in ALL_ENDINGS {
+            for bad in [0.5, 2.5, 15.0] {
+                for trouble in ALL_TROUBLES {
+                    check(Day {
+                        groups: 12,
+                        ranks: 1,
+                        bad,
+                        ending,
+                        trouble,
+                        seed,
+                        ..Day::new(6)
+                    });
+                }
+            }
+        }
+    }
+}
+
+/// Guards against many crashes at one moment that count as few, since a group starts all that waited at once.
+#[gtest]
+fn a_bad_part_that_many_requests_have_is_held_in_time_before_groups() {
+    for seed in 0..2 {
+        for ending in ALL_ENDINGS {
+            for trouble in [Trouble::Nothing, Trouble::Restarts, Trouble::Freeze] {
+                check(Day {
+                    bad: 15.0,
+                    ending,
+                    trouble,
+                    seed,
+                    ..Day::new(6)
+                });
+            }
+        }
+    }
+}
+
 /// Guards against verdicts that come too late because a message is full or gossip is slow.
 #[gtest]
 fn a_bad_part_is_held_in_time_by_fleets_of_any_size() {
@@ -98,6 +172,43 @@
     }
 }
 
+/// Guards against the same wherever the answers end.
+#[gtest]
+fn a_bad_part_is_held_in_time_by_fleets_of_any_size_wherever_its_upstreams_crash() {
+    for gateways in [98, 340, 1_000] {
+        for ending in [Ending::BeforeHead, Ending::AfterEvents(5), Ending::Anywhere] {
+            check(Day {
+                ending,
+                ..Day::new(gateways)
+            });
+        }
+    }
+}
+
+/// Guards against innocent parts that are held because their upstreams crash again and again.
+#[gtest]
+fn nothing_is_held_where_upstreams_crash_without_a_bad_part() {
+    for gateways in [6, 98] {
+        for seed in 0..3 {
+            for (groups, ranks) in [(gateways / 6, 12), (2 * gateways, 1)] {
+                for trouble in [Trouble::PowerLosses, Trouble::Series] {
+                    let day = Day {
+                        bad: 0.0,
+                        groups,
+                        ranks,
+                        trouble,
+                        seed,
+                        ..Day::new(gateways)
+                    };
+                    let outcome = World::new(day, Way::Judged).play();
+                    println!("{day:?}: {} held at any time", outcome.refused);
+                    expect_that!(outcome.refused, eq(0), "{day:?}");
+                }
+            }
+        }
+    }
+}
+
 /// Guards against a sound part that two bad ones share being held for all that crashes under them, once no gateway remembers
 /// its answers.
 #[gtest]
--- a/crates/gateway/tests/all/crash_loop/world.rs
+++ b/crates/gateway/tests/all/crash_loop/world.rs
@@ -27,8 +27,10 @@
 const FANOUT: usize = 6;
 /// Time from one event of an answer to the next.
 const PASS: Duration = Duration::from_millis(70);
-/// Time from the start of a run with a bad part until its upstream crashes.
+/// Time from the start of a run with a bad part until its upstream crashes, beside the events that it sends before.
 const FUSE: Duration = Duration::from_millis(100);
+/// Time after which an upstream that hangs crashes.
+const SILENCE: Duration = Duration::from_millis(1_500);
 /// Time from the crash of a rank until its group serves again.
 const OUTAGE: Duration = Duration::from_millis(4_500);
 /// Time for which a request waits for a group.
@@ -49,6 +51,45 @@
     TwoBad,
 }
 
+/// Where in the answer to a bad request its upstream crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ending {
+    BeforeHead,
+    AfterHead,
+    AfterEvents(u32),
+    /// After a time without a head.
+    Silent,
+    /// At another place each time: before the head, after it, or after up to 20 events.
+    Anywhere,
+}
+
+impl Ending {
+    /// Returns the place where one run ends.
+    fn draw(self, rng: &mut ChaCha8Rng) -> Ending {
+        match self {
+            Ending::Anywhere => match rng.random_range(0..3) {
+                0 => Ending::BeforeHead,
+                1 => Ending::AfterHead,
+                _ => Ending::AfterEvents(rng.random_range(1..=20)),
+            },
+            one => one,
+        }
+    }
+
+    /// Returns the time from the start of the run.
+    fn after(self) -> Duration {
+        match self {
+            Ending::BeforeHead | Ending::AfterHead | Ending::Anywhere => FUSE,
+            Ending::AfterEvents(events) => FUSE + PASS * events,
+            Ending::Silent => SILENCE,
+        }
+    }
+
+    fn has_head(self) -> bool {
+        !matches!(self, Ending::BeforeHead | Ending::Silent)
+    }
+}
+
 /// What else happens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Trouble {
@@ -61,8 +102,10 @@
     Split,
     /// A tenth of the gateways freeze at the second crash for 4 s.
     Freeze,
-    /// Every 5 s, some ranks of each group lose power together.
+    /// Every 5 s, some ranks of each group lose power together, or a third of the upstreams without groups.
     PowerLosses,
+    /// Each second, an upstream crashes without a cause in its requests.
+    Series,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -75,6 +118,7 @@
     /// Requests with a bad part a second.
     pub(super) bad: f64,
     pub(super) prompts: Prompts,
+    pub(super) ending: Ending,
     pub(super) trouble: Trouble,
     /// Fraction of messages that are lost.
     pub(super) loss: f64,
@@ -92,6 +136,7 @@
             sound: 50.0 * rate,
             bad: 1.0 + rate / 2.0,
             prompts: Prompts::AnyFirst,
+            ending: Ending::AfterHead,
             trouble: Trouble::Nothing,
             loss: 0.1,
             seed: 1,
@@ -125,6 +170,28 @@
     rank: usize,
     began: Monotonic,
     has_survived: bool,
+    /// Where it ends if it is bad.
+    ending: Ending,
+}
+
+impl Run {
+    /// Returns how many events of its answer have arrived.
+    fn events(&self, now: Monotonic) -> u64 {
+        let count = now.saturating_sub(self.began).as_millis() / PASS.as_millis();
+        u64::try_from(count).expect("small")
+    }
+
+    fn stage(&self, now: Monotonic) -> Stage {
+        if self.request.is_bad() && !self.ending.has_head() {
+            return Stage::Waiting;
+        }
+        Stage::after(self.events(now))
+    }
+
+    /// Returns whether it crashes its upstream now.
+    fn is_fired(&self, now: Monotonic) -> bool {
+        self.request.is_bad() && now >= self.began + self.ending.after()
+    }
 }
 
 #[derive(Default)]
@@ -146,6 +213,8 @@
     /// The same for those that share a part with bad requests.
     pub(super) related: usize,
     pub(super) related_held: usize,
+    /// Sound requests that were held at any time.
+    pub(super) refused: usize,
     pub(super) most_marks: usize,
 }
 
@@ -280,6 +349,7 @@
         };
         self.record(&request);
         let is_held = self.is_held(&request);
+        self.outcome.refused += usize::from(is_held && !request.is_bad());
         request.is_trial = is_held && self.takes_trial(&request);
         if !is_held || request.is_trial {
             self.waiting.push(request);
@@ -343,6 +413,7 @@
                 rank: self.rng.random_range(0..self.day.ranks),
                 began: self.now,
                 has_survived: false,
+                ending: self.day.ending.draw(&mut self.rng),
             };
             self.groups[group].runs.push(run);
         }
@@ -353,7 +424,7 @@
             let fired = self.groups[group]
                 .runs
                 .iter()
-                .find(|run| run.request.is_bad() && self.now >= run.began + FUSE);
+                .find(|run| run.is_fired(self.now));
             let fired = fired.and_then(|run| Some((run.request.bad()?, run.rank)));
             if let Some((part, rank)) = fired {
                 self.outcome.crashes.push((part, self.now));
@@ -367,9 +438,9 @@
     fn events(&mut self, group: usize) {
         let runs = std::mem::take(&mut self.groups[group].runs);
         for mut run in runs {
-            let pieces = (self.now.saturating_sub(run.began)).as_millis() / PASS.as_millis();
             let quarantine = &mut self.gateways[run.request.gateway];
-            let is_whole = pieces >= u128::from(run.request.pieces);
+            let is_whole =
+                !run.request.is_bad() && run.events(self.now) >= u64::from(run.request.pieces);
             if is_whole {
                 sound(
                     quarantine,
@@ -380,7 +451,7 @@
                 );
                 continue;
             }
-            let is_underway = pieces >= 4;
+            let is_underway = run.stage(self.now) == Stage::Underway;
             if is_underway && (!run.has_survived || !quarantine.is_empty()) {
                 run.has_survived = true;
                 sound(
@@ -403,8 +474,7 @@
         let runs = std::mem::take(&mut self.groups[group].runs);
         for run in runs {
             if ranks.contains(&run.rank) {
-                let events = self.now.saturating_sub(run.began).as_millis() / PASS.as_millis();
-                let stage = Stage::after(u64::try_from(events).expect("small"));
+                let stage = run.stage(self.now);
                 let quarantine = &mut self.gateways[run.request.gateway];
                 let upstream = first + run.rank as u64;
                 match self.way {
@@ -467,13 +537,21 @@
                 frozen.for_each(|until| *until = self.now + Duration::from_secs(4));
             }
             Trouble::PowerLosses if tick.is_multiple_of(100) => {
-                for group in 0..self.groups.len() {
+                let is_alone = self.day.ranks == 1;
+                let step = if is_alone { 3 } else { 1 };
+                let ranks: Vec<_> = (0..(self.day.ranks / 3).max(1)).collect();
+                for group in (0..self.groups.len()).step_by(step) {
                     if self.groups[group].open_at <= self.now {
-                        let ranks: Vec<_> = (0..self.day.ranks / 3).collect();
                         self.crash(group, &ranks);
                     }
                 }
             }
+            Trouble::Series if tick.is_multiple_of(20) => {
+                let group = self.rng.random_range(0..self.groups.len());
+                if self.groups[group].open_at <= self.now {
+                    self.crash(group, &[0]);
+                }
+            }
             _ => {}
         }
     }
