--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -329,6 +329,7 @@
     drop(gateway);
     let replies: Vec<Datagram> = std::iter::once(Datagram::JoinReply(heartbeat))
         .chain(size)
+        .chain(crash::messages(shared, now))
         .collect();
     shared.send_all(&replies, &[to]);
     for report in reports {
