A held part is tried early beside parts that were at no crash; who tells of a cleared crash is told of the answer

A sound part that two bad ones share was held for a minute at least, though requests with it and with nothing else suspect could show that it is sound: all such requests were refused. The home lets one of these through after 5 s; a crash after such a gap counts as a failed trial and the long times hold.

--- a/crates/gateway/src/quarantine/evidence.rs
+++ b/crates/gateway/src/quarantine/evidence.rs
@@ -26,6 +26,9 @@
 /// Time for which a part is held after [`UNKNOWN_LIMIT`] crashes, before it is tried again. It doubles with each further one.
 const HOLD_TIME: Timestamp = Timestamp::from_mins(1);
 
+/// Time for which a part is held before a request is let through that shows whether the part alone is the cause.
+const EARLY_HOLD_TIME: Timestamp = Timestamp::from_secs(5);
+
 /// Crash of an upstream that had requests with the part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Crash {
@@ -152,6 +155,21 @@
         HOLD_TIME * (1 << further)
     }
 
+    /// Returns for how long the part is held before a request is let through whose other parts are beyond suspicion. A crash that
+    /// came after such a time is taken for a trial that failed.
+    pub(super) fn early_hold_time(&self) -> Timestamp {
+        let mut crashes = self.crashes.iter().rev().map(|crash| crash.at);
+        let (last, before) = (crashes.next(), crashes.next());
+        let gap = last
+            .unwrap_or_default()
+            .saturating_sub(before.unwrap_or_default());
+        if gap < EARLY_HOLD_TIME {
+            EARLY_HOLD_TIME
+        } else {
+            self.hold_time()
+        }
+    }
+
     /// Returns whether there is still a reason to keep the record. A held part stays long enough to be tried again.
     pub(super) fn is_current(&self, now: Timestamp) -> bool {
         let last = self.last_crash().max(self.answered);
--- a/crates/gateway/tests/all/part.rs
+++ b/crates/gateway/tests/all/part.rs
@@ -305,6 +305,43 @@
     expect_that!(is_held(&quarantine, &[BAD], last + millis(1)), eq(false));
 }
 
+/// Guards against a sound part that two bad ones share being held for a minute, though requests with others of its prompts could
+/// show that it is sound.
+#[gtest]
+fn a_held_part_is_tried_early_once_beside_parts_that_were_at_no_crash() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, &[FIRST, BAD], 1..=2);
+    crash(&mut quarantine, &[FIRST, BAD + 1], 3..=3);
+    let early = millis(17_000);
+    expect_that!(is_held(&quarantine, &[FIRST, 9], early), eq(true));
+    expect_that!(
+        quarantine.take_trial(&[FIRST, BAD], early, |_| true),
+        eq(false)
+    );
+    expect_that!(
+        quarantine.take_trial(&[FIRST, 9], early, |_| false),
+        eq(false)
+    );
+    expect_that!(
+        quarantine.take_trial(&[FIRST, 9], millis(16_999), |_| true),
+        eq(false)
+    );
+    expect_that!(
+        quarantine.take_trial(&[FIRST, 9], early, |_| true),
+        eq(true)
+    );
+    crash(&mut quarantine, &[FIRST, 9], 5..=5);
+    let later = millis(30_000 + 30_000);
+    expect_that!(
+        quarantine.take_trial(&[FIRST, 8], later, |_| true),
+        eq(false)
+    );
+    expect_that!(
+        quarantine.take_trial(&[FIRST, 8], millis(140_000), |_| true),
+        eq(true)
+    );
+}
+
 #[gtest]
 fn a_held_part_is_forgotten_if_nobody_tries_it() {
     let mut quarantine = Quarantine::default();
@@ -386,6 +423,24 @@
     expect_that!(is_held(&second, &[FIRST], now), eq(false));
 }
 
+/// Guards against a gateway that counts crashes which an answer elsewhere has cleared, since who knows of the answer keeps quiet.
+#[gtest]
+fn a_gateway_that_tells_of_a_cleared_crash_is_told_of_the_answer() {
+    let (mut first, mut second) = (Quarantine::default(), Quarantine::default());
+    for quarantine in [&mut first, &mut second] {
+        crash(quarantine, &[FIRST], 1..=1);
+        quarantine.parts_answered(&[FIRST], millis(5_000));
+    }
+    crash(&mut first, &[FIRST], 2..=6);
+    // After the crashes, and before it hears of them.
+    second.parts_answered(&[FIRST], millis(25_000));
+    expect_that!(is_held(&first, &[FIRST], millis(25_000)), eq(true));
+    let now = millis(26_000);
+    second.merge_parts(&first.part_marks(now), now);
+    first.merge_parts(&second.part_marks(now), now);
+    expect_that!(is_held(&first, &[FIRST], now), eq(false));
+}
+
 /// Draws marks on a few parts.
 fn draw(rng: &mut ChaCha8Rng) -> Vec<Mark> {
     let count = rng.random_range(1..40);
