An answer whose status is none of HTTP is malformed

What callers saw: an upstream that answers 999 or 600 at once got most requests and its answers were passed on. Cause: the HTTP library takes any number from 100 to 999; only 000 and the like were refused by it. The client that all programs read answers with refuses what is not 100 to 599 before it reads anything else of the head, also that the request did not run; the head that a slot passes on to an entry is held to the same.

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -3,6 +3,7 @@
 //! The bytes of a draft are its text. The bytes of a plain service's answer are its [`Head`] as one
 //! line, followed by its body, so that resume, replay and checksum cover both.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -67,6 +68,9 @@
     }
 }
 
+/// Statuses of HTTP. An answer with any other is malformed.
+pub const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Status and media type of a plain service's answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Head {
@@ -90,8 +94,12 @@
         let end = bytes.iter().position(|&byte| byte == b'\n')?;
         let line = std::str::from_utf8(&bytes[..end]).ok()?;
         let (status, content_type) = line.split_once(' ')?;
+        let status = status.parse().ok()?;
+        if !STATUSES.contains(&status) {
+            return None;
+        }
         let head = Head {
-            status: status.parse().ok()?,
+            status,
             content_type: content_type.to_owned(),
         };
         Some((head, bytes.slice(end + 1..)))
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use auburnline_core::answer::STATUSES;
 use bytes::Bytes;
 use error_stack::Report;
 use error_stack::ResultExt as _;
@@ -155,6 +156,10 @@
         let (mut head, incoming) = response.into_parts();
         let meter = head.extensions.remove::<Meter>().unwrap_or_default();
         meter.head_arrived();
+        // What an answer without a valid status says of its request can't be relied on either.
+        if !STATUSES.contains(&head.status.as_u16()) {
+            return Err(Report::new(Failure::Malformed).attach(head.status));
+        }
         if head.headers.contains_key(NOT_RUN) && !head.status.is_success() {
             return Err(Report::new(Failure::Refused(head.status.as_u16())));
         }
--- a/crates/http/tests/exchange.rs
+++ b/crates/http/tests/exchange.rs
@@ -196,6 +196,37 @@
     expect_that!(answer(&large, Then::Hold), err(eq(&Failure::Malformed)));
 }
 
+/// Guards against an answer whose status is none of HTTP being taken for an answer. Every program reads answers here.
+#[gtest]
+fn an_answer_whose_status_is_none_of_http_is_malformed() {
+    for status in [
+        "000", "099", "600", "999", "20", "2000", "-20", "2x0", "", "0x1",
+    ] {
+        for mark in ["", "x-not-run: 1\r\n"] {
+            let text = format!("HTTP/1.1 {status} Odd\r\n{mark}content-length: 2\r\n\r\nok");
+            let outcome = answer(&text, Then::Close);
+            expect_that!(outcome, err(eq(&Failure::Malformed)), "{text}");
+        }
+    }
+    for status in [200, 299, 404, 499, 503, 599] {
+        let text = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 2\r\n\r\nok");
+        expect_that!(answer(&text, Then::Close), ok(anything()), "{text}");
+    }
+}
+
+/// Guards against an interim answer that nothing follows being taken for the answer.
+#[gtest]
+fn an_interim_status_is_no_answer() {
+    for status in [100, 102, 199] {
+        let text = format!("HTTP/1.1 {status} Odd\r\n\r\n");
+        expect_that!(
+            answer(&text, Then::Close),
+            err(eq(&Failure::Lost)),
+            "{text}"
+        );
+    }
+}
+
 #[gtest]
 fn a_body_that_trickles_ends_as_lost() {
     let slow = format!(
