No early trial of held parts; three crashes suffice though two of them are close

The early trial is taken back. A new part that was at most of the crashes at its moments, beside no part of other prompts, is held at three crashes if they are of two moments (five of three for a part that had whole answers).

--- a/crates/gateway/src/quarantine/evidence.rs
+++ b/crates/gateway/src/quarantine/evidence.rs
@@ -19,16 +19,14 @@
 const UNKNOWN_LIMIT: usize = 3;
 /// The same for a part that had whole answers before.
 const SOUND_LIMIT: usize = 5;
-/// Number of crashes at one moment at which a part is held that had no whole answer and was at most of the crashes then.
+/// Number of crashes at one moment at which a part is held that had no whole answer and was at most of the crashes then. Such a
+/// part is held at its usual limit if more than half of that are moments.
 const BURST_LIMIT: usize = 5;
 /// Time within which crashes belong to one moment: upstreams that lose power together.
 const MOMENT: Timestamp = Timestamp::from_millis(100);
 /// Time for which a part is held after [`UNKNOWN_LIMIT`] crashes, before it is tried again. It doubles with each further one.
 const HOLD_TIME: Timestamp = Timestamp::from_mins(1);
 
-/// Time for which a part is held before a request is let through that shows whether the part alone is the cause.
-const EARLY_HOLD_TIME: Timestamp = Timestamp::from_secs(5);
-
 /// Crash of an upstream that had requests with the part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Crash {
@@ -137,8 +135,9 @@
         let mut moments = Moments::default();
         let count = left.iter().filter(|crash| moments.add(crash.at)).count();
         let is_spread = count >= limit;
+        let is_close = 2 * count > limit && left.len() >= limit;
         let is_burst = is_unknown && left.len() >= BURST_LIMIT;
-        (is_spread || is_burst).then_some(Weight {
+        (is_spread || is_close || is_burst).then_some(Weight {
             is_spread,
             is_unknown,
             crashes: left.len(),
@@ -155,21 +154,6 @@
         HOLD_TIME * (1 << further)
     }
 
-    /// Returns for how long the part is held before a request is let through whose other parts are beyond suspicion. A crash that
-    /// came after such a time is taken for a trial that failed.
-    pub(super) fn early_hold_time(&self) -> Timestamp {
-        let mut crashes = self.crashes.iter().rev().map(|crash| crash.at);
-        let (last, before) = (crashes.next(), crashes.next());
-        let gap = last
-            .unwrap_or_default()
-            .saturating_sub(before.unwrap_or_default());
-        if gap < EARLY_HOLD_TIME {
-            EARLY_HOLD_TIME
-        } else {
-            self.hold_time()
-        }
-    }
-
     /// Returns whether there is still a reason to keep the record. A held part stays long enough to be tried again.
     pub(super) fn is_current(&self, now: Timestamp) -> bool {
         let last = self.last_crash().max(self.answered);
--- a/crates/gateway/src/quarantine/table.rs
+++ b/crates/gateway/src/quarantine/table.rs
@@ -178,7 +178,7 @@
 
     /// Returns whether a request with these parts, which are held, is let through to try them again. While the verdict is
     /// ambiguous, that is one of several requests with the parts that most requests have. Otherwise only the home of the parts
-    /// tries them, some time after the last crash: sooner with a request that tells more. A request that is held for several reasons would tell nothing.
+    /// tries them, some time after the last crash. A request that is held for several reasons would tell nothing.
     pub(super) fn take_trial(
         &mut self,
         parts: &[Part],
@@ -191,18 +191,13 @@
             return false;
         };
         let most_refused = self.most_refused(hold);
-        let is_apart = self.is_apart(parts, hold);
         let first = hold.parts.first();
         let Some(record) = first.and_then(|first| self.records.get_mut(first)) else {
             return false;
         };
         record.refused += 1;
         let is_recent = |at: Timestamp, time| now.saturating_sub(at) < time;
-        let hold_time = if is_apart {
-            record.early_hold_time()
-        } else {
-            record.hold_time()
-        };
+        let hold_time = record.hold_time();
         let is_early = record
             .last_crash()
             .is_some_and(|at| is_recent(at, hold_time));
@@ -217,14 +212,6 @@
         is_let_through
     }
 
-    /// Returns whether a request has a held part beside others that were at no crash lately. Its answer would show that the part is
-    /// sound, and its crash would show little else than that the part is not.
-    fn is_apart(&self, parts: &[Part], hold: &Hold) -> bool {
-        let mut others = parts.iter().filter(|part| !hold.parts.contains(part));
-        let is_single = hold.parts.len() == 1;
-        is_single && parts.len() > 1 && others.all(|other| self.known_crashes(*other) == 0)
-    }
-
     /// Returns how many requests were refused for any other parts that explain the same crashes.
     fn most_refused(&self, hold: &Hold) -> u32 {
         let rivals = self.holds.iter().filter(|other| {
