--- a/crates/gateway/src/quarantine/evidence.rs
+++ b/crates/gateway/src/quarantine/evidence.rs
@@ -19,8 +19,8 @@
 const UNKNOWN_LIMIT: usize = 3;
 /// The same for a part that had whole answers before.
 const SOUND_LIMIT: usize = 5;
-/// Number of crashes at one moment at which a part is held that had no whole answer and was at most of the crashes then. Such a
-/// part is held at its usual limit if more than half of that are moments.
+/// Number of crashes at one moment at which a part is held that had no whole answer and was at all crashes then. A part that was
+/// at all crashes of its moments is held at its usual limit if more than half of that are moments.
 const BURST_LIMIT: usize = 5;
 /// Time within which crashes belong to one moment: upstreams that lose power together.
 const MOMENT: Timestamp = Timestamp::from_millis(100);
--- a/crates/gateway/src/quarantine/verdict.rs
+++ b/crates/gateway/src/quarantine/verdict.rs
@@ -8,7 +8,7 @@
 //! more crash takes a whole group from all callers. Single requests are let through to tell them apart.
 //!
 //! Crashes at one moment may have a common cause that is none of the parts, such as a loss of power. They suffice only for a part
-//! that was at most of them, and only if no part of other prompts was at the same ones.
+//! that was at all of them, and only if no part of other prompts was at the same ones.
 //!
 //! All gateways with the same evidence reach the same verdict.
 
@@ -73,15 +73,15 @@
         pairs.all(|(own, other)| own.overlaps(other))
     }
 
-    /// Returns whether the part was at most of the crashes at the moments of its own.
-    fn is_at_most(&self, all: &BTreeMap<StartTag, Timestamp>) -> bool {
+    /// Returns whether the part was at all crashes at the moments of its own.
+    fn is_at_all(&self, all: &BTreeMap<StartTag, Timestamp>) -> bool {
         let own: Vec<Timestamp> = self
             .crashes
             .keys()
             .filter_map(|upstream| all.get(upstream).copied())
             .collect();
         let is_beside = |at: &&Timestamp| own.iter().any(|own| is_one_moment(*own, **at));
-        2 * own.len() > all.values().filter(is_beside).count()
+        own.len() == all.values().filter(is_beside).count()
     }
 
     /// Returns whether the same crashes speak as strongly for another part.
@@ -103,7 +103,7 @@
         let candidates = records
             .iter()
             .filter_map(|(part, record)| Candidate::new(*part, record, &explained))
-            .filter(|candidate| candidate.weight.is_spread || candidate.is_at_most(&all))
+            .filter(|candidate| candidate.weight.is_spread || candidate.is_at_all(&all))
             .filter(|candidate| !is_one_request(&candidate.upstreams()));
         let candidates: Vec<_> = candidates.collect();
         let Some(strongest) = candidates.iter().max() else {
