--- a/crates/gateway/src/quarantine/evidence.rs
+++ b/crates/gateway/src/quarantine/evidence.rs
@@ -13,7 +13,7 @@
 use crate::quarantine::part::Stage;
 
 /// Maximum number of crashes remembered for one part.
-const MAX_CRASHES: usize = 8;
+pub(super) const MAX_CRASHES: usize = 8;
 /// Number of moments at which upstreams have crashed at which a part is held, if no request with it ever had its whole answer:
 /// enough to tell it from parts that were there by chance, and two fewer than users tolerate.
 const UNKNOWN_LIMIT: usize = 3;
--- a/crates/gateway/src/quarantine/verdict.rs
+++ b/crates/gateway/src/quarantine/verdict.rs
@@ -20,6 +20,7 @@
 use crate::quarantine::StartTag;
 use crate::quarantine::Timestamp;
 use crate::quarantine::evidence::Crash;
+use crate::quarantine::evidence::MAX_CRASHES;
 use crate::quarantine::evidence::Record;
 use crate::quarantine::evidence::Weight;
 use crate::quarantine::evidence::is_one_moment;
@@ -73,7 +74,7 @@
         pairs.all(|(own, other)| own.overlaps(other))
     }
 
-    /// Returns whether the part was at all crashes at the moments of its own.
+    /// Returns whether the part was at all crashes at the moments of its own, or at most if not all of them are kept.
     fn is_at_all(&self, all: &BTreeMap<StartTag, Timestamp>) -> bool {
         let own: Vec<Timestamp> = self
             .crashes
@@ -81,7 +82,8 @@
             .filter_map(|upstream| all.get(upstream).copied())
             .collect();
         let is_beside = |at: &&Timestamp| own.iter().any(|own| is_one_moment(*own, **at));
-        own.len() == all.values().filter(is_beside).count()
+        let beside = all.values().filter(is_beside).count();
+        own.len() == beside || own.len() == MAX_CRASHES && 2 * own.len() > beside
     }
 
     /// Returns whether the same crashes speak as strongly for another part.
--- a/crates/gateway/tests/all/part.rs
+++ b/crates/gateway/tests/all/part.rs
@@ -236,6 +236,20 @@
     expect_that!(is_held(&quarantine, &[FIRST, 8], millis(1_000)), eq(false));
 }
 
+/// Guards against a part with more crashes at one moment than are remembered being taken for one that was not at all of them.
+#[gtest]
+fn a_new_part_that_was_at_twelve_crashes_at_one_moment_is_held() {
+    let mut quarantine = Quarantine::default();
+    for upstream in 1..=12 {
+        let at = millis(1_000 + upstream);
+        quarantine.parts_crashed(&[FIRST, 100 + upstream], upstream, Stage::Waiting, at);
+        quarantine.parts_crashed(&[FIRST, BAD], upstream, Stage::Waiting, at);
+    }
+    let now = millis(1_100);
+    expect_that!(is_held(&quarantine, &[FIRST, BAD], now), eq(true));
+    expect_that!(is_held(&quarantine, &[FIRST, 101], now), eq(false));
+}
+
 /// Guards against innocent parts that are held because many upstreams lost power at once.
 #[gtest]
 fn parts_of_different_prompts_are_not_held_for_one_loss_of_power() {
