--- a/crates/gateway/src/quarantine/verdict.rs
+++ b/crates/gateway/src/quarantine/verdict.rs
@@ -115,6 +115,7 @@
         let groups = group(rivals.collect());
         let crashes = strongest.upstreams();
         let is_ambiguous = groups.len() > 1;
+        // What was everywhere at one moment speaks for a common cause.
         if strongest.weight.is_spread || !is_ambiguous {
             holds.extend(groups.into_iter().map(|parts| Hold {
                 parts,
