Review, case 4: a killed standby forgets an ended hold, and a group's ranks switch maps apart

A leader that froze right after a hold wakes, its standby had ended the hold, and the standby's process is killed while the group is idle. The new one arms its rank for the pass that is no longer held; the leader then arms the others without a look at the hold. A request that comes before all are armed begins a pass on two maps, and so do all after it.

Cause, as far as known: the phase Arming of Change::advance does not check that the hold stands; what the standby remembers of an ended hold does not outlive its process.

--- /dev/null
+++ b/review/standins-2/src/main.rs
@@ -0,0 +1,65 @@
+//! Stand-ins and cases of an independent review.
+//!
+//! `review-standins-2 CASE FOLDER` plays one case in the repository's root and writes `record.txt` into the folder. It
+//! exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+
+mod case4;
+mod group;
+mod http;
+mod process;
+mod record;
+mod store;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use crate::record::Record;
+
+/// How a case ended.
+pub enum Verdict {
+    /// The rule held.
+    Held,
+    /// The rule was broken.
+    Broken,
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = &arguments[..] else {
+        eprintln!("usage: review-standins-2 CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let work = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+    let outcome = std::fs::create_dir_all(&work).map_err(|error| error.to_string());
+    let outcome = outcome.and_then(|()| {
+        let record = Record::create(&Path::new(folder).join("record.txt"));
+        let record = record.map_err(|error| error.to_string())?;
+        record.add(&format!("case {case}, trouble: {has_trouble}"));
+        let verdict = match case.as_str() {
+            "4" => case4::play(&work, &record, has_trouble),
+            _ => Err("there is no such case".to_owned()),
+        };
+        if let Err(error) = &verdict {
+            record.add(&format!("couldn't run: {error}"));
+        }
+        verdict
+    });
+    if std::env::var_os("KEEP").is_none() {
+        let _ = std::fs::remove_dir_all(&work);
+    }
+    match outcome {
+        Ok(Verdict::Held) => {
+            println!("held");
+            ExitCode::SUCCESS
+        }
+        Ok(Verdict::Broken) => {
+            println!("broken");
+            ExitCode::from(1)
+        }
+        Err(error) => {
+            eprintln!("couldn't run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
