Review, case 5: a request that crashes its servers is never held if its client leaves first

A client sends a request that crashes each server that begins to run it, and leaves shortly before each crash. The request is never held, however often it comes, and sound requests are lost with the servers.

Cause, as far as known: evidence of a crash is kept only where an attempt ends by itself. A caller that leaves drops the exchange, and the attempt is reported as cancelled and forgotten.

--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -107,7 +107,7 @@
 }
 
 /// Reads a whole message; `None` at the end of the connection.
-fn read(reader: &mut BufReader<TcpStream>) -> Option<Message> {
+pub fn read(reader: &mut BufReader<TcpStream>) -> Option<Message> {
     let mut message = read_head(reader)?;
     message.is_whole = read_body(&mut message, reader);
     Some(message)
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,8 @@
 //! exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod case4;
+mod case5;
+mod desk;
 mod group;
 mod http;
 mod process;
@@ -12,9 +14,13 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use crate::record::Record;
 
+/// Longest time that a case takes.
+const LIMIT: Duration = Duration::from_secs(110);
+
 /// How a case ended.
 pub enum Verdict {
     /// The rule held.
@@ -29,15 +35,17 @@
         eprintln!("usage: review-standins-2 CASE FOLDER");
         return ExitCode::from(2);
     };
-    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
+    process::end_after(LIMIT);
     let work = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
     let outcome = std::fs::create_dir_all(&work).map_err(|error| error.to_string());
     let outcome = outcome.and_then(|()| {
         let record = Record::create(&Path::new(folder).join("record.txt"));
         let record = record.map_err(|error| error.to_string())?;
-        record.add(&format!("case {case}, trouble: {has_trouble}"));
+        record.add(&format!("case {case}, trouble: {trouble}"));
         let verdict = match case.as_str() {
-            "4" => case4::play(&work, &record, has_trouble),
+            "4" => case4::play(&work, &record, trouble != "0"),
+            "5" => case5::play(&work, &record, &trouble),
             _ => Err("there is no such case".to_owned()),
         };
         if let Err(error) = &verdict {
--- a/review/standins-2/src/process.rs
+++ b/review/standins-2/src/process.rs
@@ -9,6 +9,7 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,6 +22,20 @@
 /// Time within which a gateway has to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Processes that were started and not ended yet.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends this process and all that it started, if it runs for longer than `limit`.
+pub fn end_after(limit: Duration) {
+    thread::spawn(move || {
+        thread::sleep(limit);
+        for process in RUNNING.lock().expect("a lock").iter() {
+            signal(*process, "-KILL");
+        }
+        std::process::exit(2);
+    });
+}
+
 /// One program, which is killed on drop.
 pub struct Program {
     binary: PathBuf,
@@ -33,23 +48,61 @@
     pub fn start(name: &str, folder: &Path, file: &str, settings: &Value) -> Result<Program> {
         let path = folder.join(format!("{file}.json"));
         fs::write(&path, settings.to_string())?;
+        Program::start_with(name, path)
+    }
+
+    /// Starts a program with the settings in a file.
+    pub fn start_with(name: &str, settings: PathBuf) -> Result<Program> {
         let binary = PathBuf::from("target/release").join(name);
-        let child = spawn(&binary, &path)?;
+        let child = spawn(&binary, &settings)?;
         Ok(Program {
             binary,
-            settings: path,
+            settings,
             child,
         })
     }
 
+    /// Returns the settings file.
+    pub fn settings(&self) -> &Path {
+        &self.settings
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Returns the status of a process that has ended, and the last line that it wrote.
+    pub fn last_words(&mut self) -> String {
+        let status = self
+            .child
+            .try_wait()
+            .ok()
+            .flatten()
+            .and_then(|status| status.code());
+        let text = fs::read_to_string(self.settings.with_extension("out")).unwrap_or_default();
+        let line = text
+            .lines()
+            .rev()
+            .find(|line| !line.trim().is_empty())
+            .unwrap_or_default();
+        format!("status {status:?}, {}", line.trim())
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let id = self.child.id();
+        RUNNING
+            .lock()
+            .expect("a lock")
+            .retain(|process| *process != id);
     }
 
     /// Starts a process again that was killed.
     pub fn start_again(&mut self) -> Result<()> {
+        self.kill();
         self.child = spawn(&self.binary, &self.settings)?;
         Ok(())
     }
@@ -71,12 +124,14 @@
         .create(true)
         .append(true)
         .open(settings.with_extension("out"))?;
-    Command::new(binary)
+    let child = Command::new(binary)
         .env("AUBURNLINE_SETTINGS", settings)
         .stdin(Stdio::null())
         .stdout(log.try_clone()?)
         .stderr(log)
-        .spawn()
+        .spawn()?;
+    RUNNING.lock().expect("a lock").push(child.id());
+    Ok(child)
 }
 
 /// Sends a signal to a process that this case started.
