Review, case 6: a session whose part of the prompt crashes servers is never held

PROTOCOL.md says that the last part of a prompt belongs to the request itself or to its session. Requests of one session, which differ in their bodies, crash each server that begins to run them, and are passed on for as long as they come.

Cause: shared_parts (platform/src/dialect.rs) drops the last part of each prompt, as if no other request could have it, so the table of parts never hears of it; the fingerprint of a whole request differs with the body.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,8 +5,10 @@
 
 mod case4;
 mod case5;
+mod case6;
 mod case7;
 mod desk;
+mod drafter;
 mod group;
 mod http;
 mod process;
@@ -47,6 +49,7 @@
         let verdict = match case.as_str() {
             "4" => case4::play(&work, &record, trouble != "0"),
             "5" => case5::play(&work, &record, &trouble),
+            "6" => case6::play(&work, &record, &trouble),
             "7" => case7::play(&work, &record, trouble != "0"),
             _ => Err("there is no such case".to_owned()),
         };
