Review: case 7 becomes case 8, and the plain service's stand-in tells two kinds of crash apart

The claim, cause and script of the bound that is a fraction are as they were. The stand-in of the servers of cases 5 and 8 can also answer with an error before it crashes, for the next case.

--- a/review/7/run.sh
+++ b/review/8/run.sh
@@ -6,7 +6,7 @@
 for program in target/release/auburnline-gateway $standin; do
   [ -x "$program" ] || { echo "missing: $program" >&2; exit 2; }
 done
-"$standin" 7 review/7 &
+"$standin" 8 review/8 &
 run=$!
 # The case ends all that it started by itself; this is for a run that is interrupted.
 interrupted() {
--- a/review/standins-2/src/case5.rs
+++ b/review/standins-2/src/case5.rs
@@ -1,4 +1,5 @@
-//! BUDGET: a request that crashes its servers is never held if its client leaves before each crash.
+//! BUDGET, cases 5 and 7: a request that crashes its servers is never held if its client leaves before each crash, or if they answer
+//! it with an error before.
 
 use std::io::Write as _;
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 use crate::Verdict;
 use crate::desk;
 use crate::desk::Desk;
+use crate::desk::Harm;
 use crate::http;
 use crate::process;
 use crate::process::Program;
@@ -46,18 +48,24 @@
 /// Retries that the rule allows.
 const ALLOWED: usize = 3;
 
-pub fn play(work: &Path, record: &Record, trouble: &str) -> Result<Verdict, String> {
-    run(work, record, trouble).map_err(|error| error.to_string())?
+/// Plays the request with what it does to its servers. `leaves` tells whether its client leaves early.
+pub fn play(work: &Path, record: &Record, harm: Harm, leaves: bool) -> Result<Verdict, String> {
+    run(work, record, harm, leaves).map_err(|error| error.to_string())?
 }
 
-fn run(work: &Path, record: &Record, trouble: &str) -> std::io::Result<Result<Verdict, String>> {
+fn run(
+    work: &Path,
+    record: &Record,
+    harm: Harm,
+    leaves: bool,
+) -> std::io::Result<Result<Verdict, String>> {
     let network = process::network();
     let (store, store_address) = Store::start(address(network, 1, 0))?;
     store.put("op/config", Some(&configuration()));
     let servers: Vec<_> = (0..SERVERS)
         .map(|server| address(network, FIRST_SERVER + server, 8120))
         .collect();
-    let desk = Desk::start(&servers, trouble != "0", &store, record);
+    let desk = Desk::start(&servers, harm, &store, record);
     let hosts: Vec<u8> = (0..GATEWAYS)
         .map(|gateway| FIRST_GATEWAY + gateway)
         .collect();
@@ -102,7 +110,7 @@
         let until = begun + span + SPAN;
         while Instant::now() + PATIENCE < until {
             let to = callers[number % callers.len()];
-            send_bad(number, to, trouble != "stay", record)?;
+            send_bad(number, to, leaves, record)?;
             number += 1;
             thread::sleep(PAUSE);
         }
--- a/review/standins-2/src/case7.rs
+++ b/review/standins-2/src/case8.rs
@@ -18,6 +18,7 @@
 use crate::Verdict;
 use crate::case5;
 use crate::desk::Desk;
+use crate::desk::Harm;
 use crate::http;
 use crate::process;
 use crate::process::Program;
@@ -62,7 +63,7 @@
     let servers: Vec<_> = (0..SERVERS)
         .map(|server| address(network, FIRST_SERVER + server, 8120))
         .collect();
-    let _desk = Desk::start(&servers, false, &store, record);
+    let _desk = Desk::start(&servers, Harm::None, &store, record);
     let hosts: Vec<u8> = (0..GATEWAYS)
         .map(|gateway| FIRST_GATEWAY + gateway)
         .collect();
--- a/review/standins-2/src/desk.rs
+++ b/review/standins-2/src/desk.rs
@@ -29,6 +29,8 @@
 const WORK: Duration = Duration::from_millis(30);
 /// Time from the begin of the bad request until its server crashes: just after its client has left in case 5.
 const CRASH_AFTER: Duration = Duration::from_millis(170);
+/// Time from an answer with an error until the server that gave it crashes.
+const EXIT_AFTER: Duration = Duration::from_millis(5);
 /// Time until a server that crashed is back.
 const DOWN: Duration = Duration::from_secs(2);
 /// Time after a crash until the store removes the entry: three heartbeats.
@@ -45,13 +47,24 @@
     pub crashes: Vec<Duration>,
 }
 
+/// What the bad request does to its servers.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Harm {
+    /// Nothing.
+    None,
+    /// They crash, and it has no answer.
+    Crash,
+    /// They answer it with a status of 500 of their own, and crash then.
+    CrashAfterError,
+}
+
 /// Servers of the service.
 #[derive(Clone)]
 pub struct Desk {
     store: Store,
     record: Record,
     seen: Arc<Mutex<Seen>>,
-    crashes: bool,
+    harm: Harm,
 }
 
 /// One start of a server.
@@ -62,13 +75,13 @@
 }
 
 impl Desk {
-    /// Starts a server at each address. `crashes` tells whether the bad request crashes its servers.
-    pub fn start(addresses: &[SocketAddr], crashes: bool, store: &Store, record: &Record) -> Desk {
+    /// Starts a server at each address.
+    pub fn start(addresses: &[SocketAddr], harm: Harm, store: &Store, record: &Record) -> Desk {
         let desk = Desk {
             store: store.clone(),
             record: record.clone(),
             seen: Arc::default(),
-            crashes,
+            harm,
         };
         for (number, address) in addresses.iter().copied().enumerate() {
             let server = desk.clone();
@@ -148,28 +161,47 @@
             http::answer(writer, 421, "X-Not-Executed: 1\r\n", b"");
             return;
         }
-        if request.target() == BAD {
-            self.run_bad(server, id);
-        } else {
+        let headers = format!("X-Attempt-Id: {id}\r\nX-Response-Seal: s.{id}\r\n");
+        if request.target() != BAD {
             thread::sleep(WORK);
+        } else if self.harm == Harm::CrashAfterError {
+            self.fail_bad(server, id, &headers, writer);
+        } else {
+            self.run_bad(server, id);
         }
         if server.has_crashed.load(Ordering::SeqCst) {
             return;
         }
-        let headers = format!("X-Attempt-Id: {id}\r\nX-Response-Seal: s.{id}\r\n");
         http::answer(writer, 200, &headers, id.as_bytes());
     }
 
-    /// Runs the bad request, which goes on also if its connection is closed.
-    fn run_bad(&self, server: &Arc<Start>, id: &str) {
+    /// Runs the bad request, answers it with an error and crashes.
+    fn fail_bad(&self, server: &Arc<Start>, id: &str, headers: &str, writer: &mut TcpStream) {
         self.seen().arrivals.push(self.record.now());
         self.record
             .add(&format!("server {}: runs the bad request {id}", server.id));
-        thread::sleep(CRASH_AFTER);
-        if self.crashes && !server.has_crashed.swap(true, Ordering::SeqCst) {
+        thread::sleep(WORK);
+        http::answer(writer, 500, headers, b"error");
+        thread::sleep(EXIT_AFTER);
+        self.crash(server, id);
+    }
+
+    fn crash(&self, server: &Arc<Start>, id: &str) {
+        if !server.has_crashed.swap(true, Ordering::SeqCst) {
             self.seen().crashes.push(self.record.now());
             self.record
                 .add(&format!("server {}: crashes under {id}", server.id));
         }
     }
+
+    /// Runs the bad request, which goes on also if its connection is closed.
+    fn run_bad(&self, server: &Arc<Start>, id: &str) {
+        self.seen().arrivals.push(self.record.now());
+        self.record
+            .add(&format!("server {}: runs the bad request {id}", server.id));
+        thread::sleep(CRASH_AFTER);
+        if self.harm == Harm::Crash {
+            self.crash(server, id);
+        }
+    }
 }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,7 +6,7 @@
 mod case4;
 mod case5;
 mod case6;
-mod case7;
+mod case8;
 mod desk;
 mod drafter;
 mod group;
@@ -19,6 +19,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use crate::desk::Harm;
 use crate::record::Record;
 
 /// Longest time that a case takes.
@@ -48,9 +49,24 @@
         record.add(&format!("case {case}, trouble: {trouble}"));
         let verdict = match case.as_str() {
             "4" => case4::play(&work, &record, trouble != "0"),
-            "5" => case5::play(&work, &record, &trouble),
+            "5" => {
+                let harm = if trouble == "0" {
+                    Harm::None
+                } else {
+                    Harm::Crash
+                };
+                case5::play(&work, &record, harm, trouble != "stay")
+            }
             "6" => case6::play(&work, &record, &trouble),
-            "7" => case7::play(&work, &record, trouble != "0"),
+            "7" => {
+                let harm = match trouble.as_str() {
+                    "0" => Harm::None,
+                    "silent" => Harm::Crash,
+                    _ => Harm::CrashAfterError,
+                };
+                case5::play(&work, &record, harm, false)
+            }
+            "8" => case8::play(&work, &record, trouble != "0"),
             _ => Err("there is no such case".to_owned()),
         };
         if let Err(error) = &verdict {
